pollencourse: serve a request end to end

Cause: there was nothing yet; a caller needs one whole path before any part of it is worth measuring.

Change: one kind of daemon (caller edge, operator edge, routing, peers, relay, membership, configuration, charges, intents, evidence), decision packages without I/O, stand-ins in packages of their own, the command line, and a demo with three daemons and stand-ins in one process.

--- /dev/null
+++ b/cmd/pollencourse/main.go
@@ -0,0 +1,71 @@
+// Command pollencourse is the model-aware router: the daemon of an entry VM, the
+// tools of its operators and a demo.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/pollencourse/pollencourse/internal/app/daemon"
+	"github.com/pollencourse/pollencourse/internal/core/fault"
+)
+
+// Exit codes of the command.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+	exitBehind = 3
+)
+
+// exitError carries an exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
+
+func main() {
+	root := newRoot()
+	err := root.Execute()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "pollencourse:", err)
+	os.Exit(exitCode(err))
+}
+
+func exitCode(err error) int {
+	var e *exitError
+	var f *fault.Error
+	switch {
+	case errors.As(err, &e):
+		return e.code
+	case errors.As(err, &f):
+		return exitFailed
+	default:
+		return exitUsage
+	}
+}
+
+// newRoot builds the whole command line.
+func newRoot() *cobra.Command {
+	g := &globals{}
+	root := &cobra.Command{
+		Use:           "pollencourse",
+		Short:         "Model-aware router for versions and cascades",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Version:       daemon.Version,
+	}
+	g.register(root)
+	root.AddCommand(
+		newServe(), newDemo(g), newCheck(g), newTemplate(g), newStatus(g), newDump(g), newCharges(g), newIntents(g), newVersion(g),
+	)
+	return root
+}
--- /dev/null
+++ b/cmd/pollencourse/serve.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/pollencourse/pollencourse/internal/app/daemon"
+	"github.com/pollencourse/pollencourse/internal/core/event"
+	"github.com/pollencourse/pollencourse/internal/core/settings"
+)
+
+func newServe() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "serve --settings FILE",
+		Short: "Run the daemon of an entry VM",
+		Long:  "Runs the daemon until SIGTERM or SIGINT, then shuts down without cutting a request.",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return serve(cmd.Context(), path)
+		},
+	}
+	cmd.Flags().StringVarP(&path, "settings", "s", "pollencourse.ini", "INI file with the settings")
+	return cmd
+}
+
+func serve(ctx context.Context, path string) error {
+	cfg, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	ls, err := daemon.Listen(cfg)
+	if err != nil {
+		return err
+	}
+	log := event.New(os.Stderr, cfg.Log.Level, cfg.Log.Format, cfg.Daemon.ID)
+	return daemon.New(cfg, ls, log).Run(ctx)
+}
--- /dev/null
+++ b/internal/config/distribute/apply.go
@@ -0,0 +1,123 @@
+package distribute
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pollencourse/pollencourse/internal/config/template"
+	"github.com/pollencourse/pollencourse/internal/core/fault"
+	"github.com/pollencourse/pollencourse/internal/fleet/relay"
+	"github.com/pollencourse/pollencourse/internal/platform/store"
+)
+
+// historyPrefix is the prefix in the store under which accepted revisions are kept.
+const historyPrefix = "templateHistory/"
+
+// Edit is one accepted revision in the history of a template.
+type Edit struct {
+	Template string    `json:"template"`
+	Revision int64     `json:"revision"`
+	At       time.Time `json:"at"`
+	By       string    `json:"by"`
+	Text     string    `json:"text"`
+}
+
+// Editor accepts edits of templates.
+type Editor struct {
+	objects Objects
+	gossip  Gossip
+}
+
+// NewEditor returns an editor that writes to the store.
+func NewEditor(objects Objects, gossip Gossip) *Editor {
+	return &Editor{objects: objects, gossip: gossip}
+}
+
+// Apply checks an edit and writes it if the template still has the revision base (0 for a new one).
+func (e *Editor) Apply(ctx context.Context, name string, text []byte, base int64, by string) (int64, error) {
+	if name == "" {
+		return 0, fault.New(fault.BadRequest, "give the template a name", "template has no name")
+	}
+	if _, err := template.Parse(name, 0, text); err != nil {
+		return 0, err
+	}
+	revision, err := e.write(ctx, name, text, base)
+	if err != nil {
+		return 0, err
+	}
+	e.gossip.Publish(relay.FleetTable, relay.Record{Key: templatePrefix + name, Version: revision, Body: text})
+	e.remember(ctx, Edit{Template: name, Revision: revision, At: time.Now().UTC(), By: by, Text: string(text)})
+	return revision, nil
+}
+
+func (e *Editor) write(ctx context.Context, name string, text []byte, base int64) (int64, error) {
+	key := storePrefix + name
+	var revision int64
+	var err error
+	if base == 0 {
+		revision, err = e.objects.Create(ctx, key, text)
+	} else {
+		revision, err = e.objects.Update(ctx, key, text, base)
+	}
+	switch {
+	case err == nil:
+		return revision, nil
+	case errors.Is(err, store.ErrAmbiguous):
+		return e.readBack(ctx, key, text, base, err)
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
+		return 0, conflict(name, base)
+	default:
+		return 0, err
+	}
+}
+
+// readBack finds out whether a write whose answer was lost took effect.
+func (e *Editor) readBack(ctx context.Context, key string, text []byte, base int64, cause error) (int64, error) {
+	o, err := e.objects.Get(ctx, key)
+	switch {
+	case err == nil && o.Version > base && bytes.Equal(o.Body, text):
+		return o.Version, nil
+	case err == nil && o.Version > base:
+		return 0, conflict(key, base)
+	case err == nil || errors.Is(err, store.ErrNotFound):
+		return 0, fault.New(fault.Unavailable, "apply it again", "the edit was not stored").WithCause(cause)
+	default:
+		return 0, fault.New(fault.Unavailable, "read the template back before applying it again", "it is not known whether the edit was stored").
+			WithCause(cause).WithOutcome(fault.Unknown)
+	}
+}
+
+func conflict(name string, base int64) error {
+	return fault.New(fault.Conflict, "get the template again, merge your edit and apply it with the new revision as base",
+		"template %s no longer has revision %d", name, base)
+}
+
+// remember writes the history; losing it does not undo the edit.
+func (e *Editor) remember(ctx context.Context, edit Edit) {
+	body, err := json.Marshal(edit)
+	if err != nil {
+		return
+	}
+	_, _ = e.objects.Create(ctx, fmt.Sprintf("%s%s/%020d", historyPrefix, edit.Template, edit.Revision), body)
+}
+
+// History returns the accepted revisions of a template, oldest first.
+func (e *Editor) History(ctx context.Context, name string) ([]Edit, error) {
+	page, err := e.objects.ListAll(ctx, historyPrefix+name+"/")
+	if err != nil {
+		return nil, err
+	}
+	var out []Edit
+	for _, o := range page.Items {
+		var edit Edit
+		if json.Unmarshal(o.Body, &edit) == nil {
+			out = append(out, edit)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/core/fault/kind.go
@@ -0,0 +1,63 @@
+package fault
+
+import "net/http"
+
+// Kind classifies an error by what the reader of it can do.
+type Kind string
+
+// The kinds of errors, one for each remedy that differs.
+const (
+	BadRequest   Kind = "badRequest"
+	TooLarge     Kind = "tooLarge"
+	Unauthorized Kind = "unauthorized"
+	NotAllowed   Kind = "notAllowed"
+	NotFound     Kind = "notFound"
+	Conflict     Kind = "conflict"
+	InProgress   Kind = "inProgress"
+	OverLimit    Kind = "overLimit"
+	Overloaded   Kind = "overloaded"
+	TooLate      Kind = "tooLate"
+	Unavailable  Kind = "unavailable"
+	BadGateway   Kind = "badGateway"
+	OutcomeLost  Kind = "outcomeLost"
+	Invalid      Kind = "invalid"
+	Superseded   Kind = "superseded"
+	Internal     Kind = "internal"
+)
+
+var statusByKind = map[Kind]int{
+	BadRequest:   http.StatusBadRequest,
+	TooLarge:     http.StatusRequestEntityTooLarge,
+	Unauthorized: http.StatusUnauthorized,
+	NotAllowed:   http.StatusForbidden,
+	NotFound:     http.StatusNotFound,
+	Conflict:     http.StatusConflict,
+	InProgress:   http.StatusConflict,
+	OverLimit:    http.StatusTooManyRequests,
+	Overloaded:   http.StatusServiceUnavailable,
+	TooLate:      http.StatusGatewayTimeout,
+	Unavailable:  http.StatusServiceUnavailable,
+	BadGateway:   http.StatusBadGateway,
+	OutcomeLost:  http.StatusBadGateway,
+	Invalid:      http.StatusUnprocessableEntity,
+	Superseded:   http.StatusServiceUnavailable,
+	Internal:     http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status code for k.
+func (k Kind) Status() int {
+	if code, ok := statusByKind[k]; ok {
+		return code
+	}
+	return http.StatusInternalServerError
+}
+
+// Outcome says whether a request ran on a backend server.
+type Outcome string
+
+// The outcomes of a request; NotRun holds only if no attempt left unsent.
+const (
+	NotRun  Outcome = "notRun"
+	Ran     Outcome = "ran"
+	Unknown Outcome = "unknown"
+)
--- /dev/null
+++ b/internal/core/settings/settings.go
@@ -0,0 +1,193 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/pollencourse/pollencourse/internal/core/fault"
+	"github.com/pollencourse/pollencourse/internal/core/inifile"
+)
+
+// Settings is everything that one daemon reads from its INI file.
+type Settings struct {
+	Daemon   Daemon
+	Platform Platform
+	Session  Session
+	Limits   Limits
+	Fleet    Fleet
+	Log      Log
+}
+
+// Daemon says which VM this is and where it listens.
+type Daemon struct {
+	ID               string
+	Region           string
+	AvailabilityZone string
+	CallerAddress    string
+	PeerAddress      string
+	OperatorAddress  string
+	// OperatorKey is asked of operators' requests; empty asks for none.
+	OperatorKey string
+}
+
+// Platform says where the platform's services are, as URLs.
+type Platform struct {
+	Store          string
+	VMList         string
+	Rater          string
+	StoreTimeout   time.Duration
+	VMListInterval time.Duration
+	StoreCallRate  int
+	WatchersPerAZ  int
+}
+
+// Session holds the keys that sign session tokens; the first signs, all verify.
+type Session struct {
+	Keys     []string
+	Lifetime time.Duration
+}
+
+// Limits bounds what callers may send and how long they may take.
+type Limits struct {
+	MaxBodyBytes    int
+	MaxHeaderBytes  int
+	MaxConnections  int
+	HeaderTimeout   time.Duration
+	WriteTimeout    time.Duration
+	DefaultDeadline time.Duration
+	MaxAnswerBytes  int
+	MaxHeldCharges  int
+	// StreamStall is how long a stream may pause before it is resumed or ended.
+	StreamStall time.Duration
+}
+
+// Fleet sets the timing between daemons.
+type Fleet struct {
+	HeartbeatInterval time.Duration
+	SuspectAfter      time.Duration
+	EntriesLifetime   time.Duration
+	ChargeFlush       time.Duration
+	LinkBytesPerSec   int
+	Seeds             []string
+}
+
+// Log sets the level and format of the log.
+type Log struct {
+	Level  string
+	Format string
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.New(fault.NotFound, "name a readable INI file", "settings can't be read").WithCause(err)
+	}
+	return Parse(path, data)
+}
+
+// Parse checks a settings text; every fault is reported with its position.
+func Parse(name string, data []byte) (*Settings, error) {
+	f, err := inifile.Parse(name, data)
+	if err != nil {
+		return nil, err
+	}
+	d := inifile.NewDecoder(f, nil)
+	s := &Settings{
+		Daemon:   decodeDaemon(d),
+		Platform: decodePlatform(d),
+		Session:  decodeSession(d),
+		Limits:   decodeLimits(d),
+		Fleet:    decodeFleet(d),
+		Log:      decodeLog(d),
+	}
+	if err := d.Finish(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func decodeDaemon(d *inifile.Decoder) Daemon {
+	s := d.Only("daemon")
+	return Daemon{
+		ID:               d.Required(s, "id"),
+		Region:           d.Required(s, "region"),
+		AvailabilityZone: d.Required(s, "availabilityZone"),
+		CallerAddress:    d.Address(s, "callerAddress", "127.0.0.1:8080"),
+		PeerAddress:      d.Address(s, "peerAddress", "127.0.0.1:7080"),
+		OperatorAddress:  d.Address(s, "operatorAddress", "127.0.0.1:9080"),
+		OperatorKey:      d.String(s, "operatorKey", ""),
+	}
+}
+
+func decodePlatform(d *inifile.Decoder) Platform {
+	s := d.Only("platform")
+	return Platform{
+		Store:          d.Required(s, "store"),
+		VMList:         d.Required(s, "vmList"),
+		Rater:          d.String(s, "rater", ""),
+		StoreTimeout:   d.Duration(s, "storeTimeout", 2*time.Second, 10*time.Millisecond, time.Minute),
+		VMListInterval: d.Duration(s, "vmListInterval", time.Second, 10*time.Millisecond, time.Minute),
+		StoreCallRate:  d.Int(s, "storeCallRate", 50, 1, 10_000),
+		WatchersPerAZ:  d.Int(s, "watchersPerAvailabilityZone", 2, 1, 100),
+	}
+}
+
+const (
+	minKeyBytes  = 16
+	sessionIdle  = 24 * time.Hour
+	yearOfHours  = 365 * 24 * time.Hour
+	maxBodyLimit = 1 << 30
+)
+
+func decodeSession(d *inifile.Decoder) Session {
+	s := d.Only("session")
+	out := Session{
+		Keys:     d.List(s, "keys"),
+		Lifetime: d.Duration(s, "lifetime", sessionIdle, time.Minute, yearOfHours),
+	}
+	if len(out.Keys) == 0 {
+		d.Faults.Add(s.Pos, "set keys = KEY in [session], the same on every daemon", "no session key")
+	}
+	for _, k := range out.Keys {
+		if len(k) < minKeyBytes {
+			d.Faults.Add(s.Pos, "use at least 16 characters", "a session key is too short")
+		}
+	}
+	return out
+}
+
+func decodeLimits(d *inifile.Decoder) Limits {
+	s := d.Only("limits")
+	return Limits{
+		MaxBodyBytes:    d.Int(s, "maxBodyBytes", 4<<20, 1, maxBodyLimit),
+		MaxHeaderBytes:  d.Int(s, "maxHeaderBytes", 64<<10, 1<<10, 16<<20),
+		MaxConnections:  d.Int(s, "maxConnections", 20_000, 1, 1_000_000),
+		HeaderTimeout:   d.Duration(s, "headerTimeout", 5*time.Second, 10*time.Millisecond, time.Minute),
+		WriteTimeout:    d.Duration(s, "writeTimeout", 10*time.Second, 10*time.Millisecond, time.Hour),
+		DefaultDeadline: d.Duration(s, "defaultDeadline", time.Minute, 10*time.Millisecond, time.Hour),
+		MaxAnswerBytes:  d.Int(s, "maxAnswerBytes", 16<<20, 1<<10, maxBodyLimit),
+		StreamStall:     d.Duration(s, "streamStall", 10*time.Second, 10*time.Millisecond, time.Hour),
+		MaxHeldCharges:  d.Int(s, "maxHeldCharges", 200_000, 1, 100_000_000),
+	}
+}
+
+func decodeFleet(d *inifile.Decoder) Fleet {
+	s := d.Only("fleet")
+	return Fleet{
+		HeartbeatInterval: d.Duration(s, "heartbeatInterval", 500*time.Millisecond, 10*time.Millisecond, time.Minute),
+		SuspectAfter:      d.Duration(s, "suspectAfter", 2*time.Second, 50*time.Millisecond, 5*time.Minute),
+		EntriesLifetime:   d.Duration(s, "entriesLifetime", 5*time.Second, 0, time.Hour),
+		ChargeFlush:       d.Duration(s, "chargeFlush", time.Second, 10*time.Millisecond, 10*time.Minute),
+		LinkBytesPerSec:   d.Int(s, "linkBytesPerSecond", 400_000, 0, maxBodyLimit),
+		Seeds:             d.List(s, "seeds"),
+	}
+}
+
+func decodeLog(d *inifile.Decoder) Log {
+	s := d.Only("log")
+	return Log{
+		Level:  d.Enum(s, "level", "info", "debug", "info", "warn", "error"),
+		Format: d.Enum(s, "format", "json", "json", "text"),
+	}
+}
--- /dev/null
+++ b/internal/decide/rollout/exposure.go
@@ -0,0 +1,36 @@
+package rollout
+
+import "math"
+
+// Evidence is what the fleet knows of one version.
+type Evidence struct {
+	Started float64
+	Good    float64
+	Poor    float64
+	// Unrated counts answers that are out without a rating and may still get one.
+	Unrated float64
+}
+
+// growth is how many more unrated answers each good rating allows.
+const growth = 0.5
+
+// Allowance returns how many unrated answers may be out over the fleet at a time.
+func Allowance(e Evidence, exposure int) float64 {
+	base := float64(exposure)
+	return base + math.Max(0, e.Good-2*e.Poor)*growth
+}
+
+// Share returns this daemon's part of the allowance that is left.
+//
+// The parts of all daemons add up to the allowance: when it is smaller than the
+// number of daemons, the first ones by rank get one answer each.
+func Share(allowance float64, daemons, rank int) int {
+	if daemons <= 0 {
+		return 0
+	}
+	whole := int(allowance) / daemons
+	if rank < int(allowance)%daemons {
+		whole++
+	}
+	return whole
+}
--- /dev/null
+++ b/internal/edge/operator/doc.go
@@ -0,0 +1,3 @@
+// Package operator serves operators over HTTP: templates, status, the dump of every
+// service's state, charges, unsettled intents and metrics.
+package operator
--- /dev/null
+++ b/internal/route/service/router.go
@@ -0,0 +1,164 @@
+package service
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/pollencourse/pollencourse/internal/back/engine"
+	backend "github.com/pollencourse/pollencourse/internal/back/service"
+	"github.com/pollencourse/pollencourse/internal/config/template"
+	"github.com/pollencourse/pollencourse/internal/core/event"
+	"github.com/pollencourse/pollencourse/internal/core/fault"
+	"github.com/pollencourse/pollencourse/internal/decide/admission"
+	"github.com/pollencourse/pollencourse/internal/decide/balance"
+	"github.com/pollencourse/pollencourse/internal/decide/retry"
+	"github.com/pollencourse/pollencourse/internal/fleet/intent"
+	"github.com/pollencourse/pollencourse/internal/fleet/peerpb"
+	"github.com/pollencourse/pollencourse/internal/route/pool"
+)
+
+// Servers sends calls to servers of services.
+type Servers interface {
+	Do(ctx context.Context, call backend.Call) (*backend.Answer, *engine.Failure)
+}
+
+// Pool gives attempts a place at a server.
+type Pool interface {
+	Acquire(ctx context.Context, need pool.Need) (balance.Target, error)
+	Release(t balance.Target, o balance.Outcome, rep balance.Report, took time.Duration)
+	Latency(offer string) time.Duration
+}
+
+// Intents keeps non-idempotent calls from running twice.
+type Intents interface {
+	Begin(ctx context.Context, req intent.Request) (*intent.Intent, *intent.Answer, error)
+}
+
+// Charges takes what a call costs.
+type Charges interface {
+	Add(ctx context.Context, c *peerpb.Charge)
+}
+
+// Request is a call whose caller is known.
+type Request struct {
+	Policy    *template.Policy
+	Service   template.Service
+	RequestID string
+	// OwnID is true if the caller gave the request ID.
+	OwnID       bool
+	Deadline    time.Time
+	Priority    int
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+}
+
+// Answer is the answer of a call.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	// Recorded is true if the call ran earlier and this is its recorded answer.
+	Recorded bool
+}
+
+// Router routes calls of plain services.
+type Router struct {
+	servers Servers
+	pool    Pool
+	intents Intents
+	charges Charges
+	budget  *retry.Budget
+	log     *event.Log
+
+	requests atomic.Int64
+	attempts atomic.Int64
+	hedges   atomic.Int64
+}
+
+// New returns a router.
+func New(servers Servers, p Pool, intents Intents, charges Charges, log *event.Log) *Router {
+	return &Router{servers: servers, pool: p, intents: intents, charges: charges, budget: retry.New(), log: log}
+}
+
+// expectedBytes is the traffic that one call is expected to cause on the link.
+const expectedBytes = 2 << 10
+
+// Serve answers one call, or returns an error that says whether it ran.
+func (r *Router) Serve(ctx context.Context, req *Request) (*Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	r.requests.Add(1)
+	r.budget.Earn()
+	if req.Service.Idempotent {
+		return r.repeatable(ctx, req)
+	}
+	return r.once(ctx, req)
+}
+
+func (r *Router) need(req *Request, avoid []string) pool.Need {
+	return pool.Need{
+		Offer: req.Service.Name, Avoid: avoid, Bytes: expectedBytes,
+		Claim: admission.Claim{
+			Account: req.Policy.Account, Weight: req.Policy.FairWeight, Priority: req.Priority,
+			Deadline: req.Deadline, Service: r.pool.Latency(req.Service.Name),
+		},
+	}
+}
+
+func (r *Router) call(req *Request, t balance.Target) backend.Call {
+	return backend.Call{
+		Address: t.Address, Method: req.Method, Path: req.Path, ContentType: req.ContentType,
+		AttemptID: uuid.NewString(), RequestID: req.RequestID, Body: req.Body, Idempotent: req.Service.Idempotent,
+	}
+}
+
+// send makes one attempt at a server that was acquired.
+func (r *Router) send(ctx context.Context, req *Request, t balance.Target) (*backend.Answer, *engine.Failure) {
+	r.attempts.Add(1)
+	began := time.Now()
+	a, f := r.servers.Do(ctx, r.call(req, t))
+	outcome := balance.Fine
+	switch {
+	case f != nil && f.Reason == engine.Cancelled:
+		outcome = balance.Cancelled
+	case f != nil && f.Reason == engine.Refused:
+		outcome = balance.Refused
+	case f != nil || a.Status >= 500:
+		outcome = balance.Failed
+	}
+	r.pool.Release(t, outcome, balance.Report{}, time.Since(began))
+	if f != nil && f.Reason != engine.Cancelled {
+		r.log.Emit(event.AttemptFailed, "server", t.ID, "requestID", req.RequestID, "error", f.Error())
+	}
+	return a, f
+}
+
+func (r *Router) charge(ctx context.Context, req *Request) {
+	r.charges.Add(ctx, &peerpb.Charge{
+		RequestId: req.RequestID, Account: req.Policy.Account, Template: req.Policy.Template,
+		Class: req.Service.Name, MicroUnits: int64(req.Service.Cost), AtUnixMs: time.Now().UnixMilli(),
+		Attempts: 1, Outcome: "whole",
+	})
+}
+
+func failed(f *engine.Failure, outcome fault.Outcome) error {
+	kind, remedy := fault.BadGateway, "send it again"
+	if f.Reason == engine.Cancelled {
+		kind, remedy = fault.TooLate, "allow more time or try later"
+	}
+	return fault.New(kind, remedy, "the service gave no whole answer").WithCause(f).WithOutcome(outcome)
+}
+
+// Dump shows the counts.
+func (r *Router) Dump() any {
+	return struct {
+		Requests int64 `json:"requests"`
+		Attempts int64 `json:"attempts"`
+		Hedges   int64 `json:"hedges"`
+	}{r.requests.Load(), r.attempts.Load(), r.hedges.Load()}
+}
--- /dev/null
+++ b/internal/standin/engine/serve.go
@@ -0,0 +1,266 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pollencourse/pollencourse/internal/standin/platform"
+)
+
+// request is the part of a chat completion request that the stand-in reads.
+type request struct {
+	Model    string `json:"model"`
+	Stream   bool   `json:"stream"`
+	Logprobs bool   `json:"logprobs"`
+	MaxTok   int    `json:"max_tokens"`
+	Priority int    `json:"priority"`
+	Messages []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// Handler returns the engine's paths.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.handleChat)
+	mux.HandleFunc("GET /v1/load", e.handleLoad)
+	mux.HandleFunc("POST /v1/orders", e.handleOrder)
+	mux.HandleFunc("POST /control/faults", e.handleFaults)
+	mux.HandleFunc("GET /control/runs", e.handleRuns)
+	mux.HandleFunc("GET /control/orders", e.handleOrders)
+	return mux
+}
+
+func (e *Engine) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+}
+
+func (e *Engine) handleRuns(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Runs()) }
+
+func (e *Engine) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, struct {
+		Running int `json:"running"`
+		Waiting int `json:"waiting"`
+		Slots   int `json:"slots"`
+	}{e.running, e.waiting, e.spec.Slots})
+}
+
+func (e *Engine) setLoadHeader(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.Header().Set("X-Engine-Load", fmt.Sprintf("running=%d,waiting=%d,slots=%d", e.running, e.waiting, e.spec.Slots))
+}
+
+func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request) {
+	var req request
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || len(req.Messages) == 0 {
+		http.Error(w, `{"error":{"message":"bad request"}}`, http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	f := e.faults
+	e.mu.Unlock()
+	quality, ok := e.quality(req.Model)
+	if f.Refuse || !ok {
+		w.Header().Set("X-Engine-Leaving", "true")
+		http.Error(w, `{"error":{"message":"not taking this work"}}`, http.StatusServiceUnavailable)
+		return
+	}
+	if !e.enter(r.Context()) {
+		return
+	}
+	defer e.leave()
+	e.setLoadHeader(w)
+	a := e.newAnswer(r, req, quality, f)
+	defer e.record(a)
+	e.wait(r.Context(), e.firstToken(req)+time.Duration(f.DelayMs)*time.Millisecond)
+	w.Header().Set("X-Request-Id", a.echo)
+	if req.Stream {
+		a.stream(r.Context(), w)
+		return
+	}
+	a.whole(r.Context(), w)
+}
+
+func (e *Engine) enter(ctx context.Context) bool {
+	e.mu.Lock()
+	e.waiting++
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		e.waiting--
+		e.mu.Unlock()
+	}()
+	select {
+	case e.slots <- struct{}{}:
+		e.mu.Lock()
+		e.running++
+		e.mu.Unlock()
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Engine) leave() {
+	e.mu.Lock()
+	e.running--
+	e.mu.Unlock()
+	<-e.slots
+}
+
+// cachedShare is the part of the first-token time that a cached prefix leaves.
+const cachedShare = 0.4
+
+func (e *Engine) firstToken(req request) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cache.touch(req.Model + req.Messages[0].Content) {
+		return time.Duration(float64(e.spec.FirstToken) * cachedShare)
+	}
+	return e.spec.FirstToken
+}
+
+// gap is the time between tokens, which grows with the number of running requests.
+func (e *Engine) gap() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Duration(float64(e.spec.TokenGap) * (1 + float64(e.running)/float64(e.spec.Slots)))
+}
+
+func (e *Engine) wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (e *Engine) record(a *answer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs = append(e.runs, Run{Attempt: a.attempt, Version: a.req.Model, At: a.start, Whole: a.done, Good: a.good})
+}
+
+// answer is one answer being written.
+type answer struct {
+	engine  *Engine
+	req     request
+	faults  Faults
+	attempt string
+	echo    string
+	prompt  string
+	good    bool
+	words   []string
+	start   time.Time
+	done    bool
+}
+
+func (e *Engine) newAnswer(r *http.Request, req request, quality float64, f Faults) *answer {
+	a := &answer{engine: e, req: req, faults: f, start: time.Now()}
+	a.attempt = r.Header.Get("X-Request-Id")
+	a.echo = a.attempt
+	if f.Crossed {
+		a.echo = "another-" + a.attempt
+	}
+	a.prompt = req.Messages[len(req.Messages)-1].Content
+	a.good = Good(a.prompt, quality)
+	n := e.spec.Tokens
+	if req.MaxTok > 0 && req.MaxTok < n {
+		n = req.MaxTok
+	}
+	word := "fine"
+	if !a.good {
+		word = platform.PoorMark
+	}
+	a.words = make([]string, n)
+	for i := range a.words {
+		a.words[i] = word + " "
+	}
+	return a
+}
+
+func (a *answer) id() string { return "chatcmpl-" + a.echo }
+
+func (a *answer) usage() string {
+	prompt := len(strings.Fields(a.prompt))
+	return fmt.Sprintf(`{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}`, prompt, len(a.words), prompt+len(a.words))
+}
+
+// whole writes the answer as one JSON body.
+func (a *answer) whole(ctx context.Context, w http.ResponseWriter) {
+	for range a.words {
+		a.engine.wait(ctx, a.engine.gap())
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	content, _ := json.Marshal(strings.Join(a.words, ""))
+	logprobs := "null"
+	if a.req.Logprobs {
+		p := math.Log(confidence(a.prompt, a.req.Model, a.good))
+		logprobs = fmt.Sprintf(`{"content":[{"token":"x","logprob":%.4f,"bytes":null,"top_logprobs":[]}]}`, p)
+	}
+	body := fmt.Sprintf(`{"id":%q,"object":"chat.completion","created":%d,"model":%q,"choices":[{"index":0,"message":{"role":"assistant","content":%s},"logprobs":%s,"finish_reason":"stop"}],"usage":%s}`,
+		a.id(), a.start.Unix(), a.req.Model, content, logprobs, a.usage())
+	w.Header().Set("Content-Type", "application/json")
+	if a.faults.CutAfter > 0 {
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		_, _ = w.Write([]byte(body[:len(body)/2]))
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write([]byte(body))
+	a.done = true
+}
+
+// stream writes the answer as server-sent events.
+func (a *answer) stream(ctx context.Context, w http.ResponseWriter) {
+	rc := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+	head := fmt.Sprintf(`data: {"id":%q,"object":"chat.completion.chunk","created":%d,"model":%q,"choices":[`, a.id(), a.start.Unix(), a.req.Model)
+	for i, word := range a.words {
+		if a.faults.CutAfter > 0 && i >= a.faults.CutAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if a.faults.StallAfter > 0 && i >= a.faults.StallAfter {
+			<-ctx.Done()
+			return
+		}
+		if _, err := fmt.Fprintf(w, "%s{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", head, word); err != nil {
+			return
+		}
+		if a.engine.spec.TokenGap > 0 || i == 0 {
+			_ = rc.Flush()
+			a.engine.wait(ctx, a.engine.gap())
+		}
+	}
+	_, _ = fmt.Fprintf(w, "%s{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n", head)
+	if a.req.StreamOptions.IncludeUsage {
+		_, _ = fmt.Fprintf(w, "%s],\"usage\":%s}\n\n", head, a.usage())
+	}
+	_, err := fmt.Fprint(w, "data: [DONE]\n\n")
+	a.done = err == nil && ctx.Err() == nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/platform/rater.go
@@ -0,0 +1,55 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// PoorMark is the word by which the engine stand-in shows that an answer is poor.
+const PoorMark = "unclear"
+
+// Rater is the rating service stand-in.
+type Rater struct {
+	// Delay is how late each rating is.
+	Delay time.Duration
+	down  atomic.Bool
+	rated atomic.Int64
+}
+
+// Register adds the service's paths to a mux.
+func (s *Rater) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/ratings", s.handleRate)
+	mux.HandleFunc("POST /control/rater", s.handleControl)
+}
+
+func (s *Rater) handleRate(w http.ResponseWriter, r *http.Request) {
+	if s.down.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	var in struct {
+		Answer string `json:"answer"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	time.Sleep(s.Delay)
+	s.rated.Add(1)
+	writeJSON(w, struct {
+		Good bool `json:"good"`
+	}{!strings.Contains(in.Answer, PoorMark)})
+}
+
+func (s *Rater) handleControl(w http.ResponseWriter, r *http.Request) {
+	var f struct {
+		Down bool `json:"down"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.down.Store(f.Down)
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,271 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pollencourse/pollencourse/internal/platform/store"
+)
+
+// Faults are the switches of the store stand-in.
+type Faults struct {
+	// Down makes every call fail at once.
+	Down bool `json:"down"`
+	// DelayMs delays every answer, in milliseconds.
+	DelayMs int `json:"delayMs"`
+	// LoseAnswers is how many writes take effect without an answer.
+	LoseAnswers int `json:"loseAnswers"`
+	// LosePrefix restricts LoseAnswers to keys with this prefix.
+	LosePrefix string `json:"losePrefix"`
+	// DropEvents is how many watch events are left out.
+	DropEvents int `json:"dropEvents"`
+	// Stale makes reads and lists answer with the first version of each object.
+	Stale bool `json:"stale"`
+}
+
+// Store is the store stand-in.
+type Store struct {
+	mu       sync.Mutex
+	revision int64
+	objects  map[string]store.Object
+	first    map[string]store.Object
+	history  []store.Object
+	changed  chan struct{}
+	faults   Faults
+	down     chan struct{}
+	calls    int64
+	watches  int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{objects: map[string]store.Object{}, first: map[string]store.Object{}, changed: make(chan struct{}), down: make(chan struct{})}
+}
+
+// SetFaults replaces the fault switches; going down cuts the watches.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Down && !s.faults.Down {
+		close(s.down)
+		s.down = make(chan struct{})
+	}
+	s.faults = f
+}
+
+// Snapshot returns all objects under a prefix, by key.
+func (s *Store) Snapshot(prefix string) []store.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list(prefix, "")
+}
+
+func (s *Store) list(prefix, after string) []store.Object {
+	var out []store.Object
+	from := s.objects
+	if s.faults.Stale {
+		from = s.first
+	}
+	for k, o := range from {
+		if strings.HasPrefix(k, prefix) && k > after {
+			out = append(out, o)
+		}
+	}
+	slices.SortFunc(out, func(a, b store.Object) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+// Register adds the store's paths to a mux.
+func (s *Store) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/objects", s.guard(s.handleList))
+	mux.HandleFunc("GET /v1/objects/{key...}", s.guard(s.handleGet))
+	mux.HandleFunc("PUT /v1/objects/{key...}", s.guard(s.handleWrite))
+	mux.HandleFunc("DELETE /v1/objects/{key...}", s.guard(s.handleWrite))
+	mux.HandleFunc("GET /v1/watch", s.guard(s.handleWatch))
+	mux.HandleFunc("POST /control/store", s.handleControl)
+	mux.HandleFunc("GET /control/store", s.handleCounts)
+}
+
+func (s *Store) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		f := s.faults
+		s.calls++
+		s.mu.Unlock()
+		time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
+		if f.Down {
+			panic(http.ErrAbortHandler)
+		}
+		next(w, r)
+	}
+}
+
+func (s *Store) handleControl(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+// Counts returns the calls taken so far and the watches held.
+func (s *Store) Counts() (calls int64, watches int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls, s.watches
+}
+
+func (s *Store) handleCounts(w http.ResponseWriter, _ *http.Request) {
+	calls, watches := s.Counts()
+	writeJSON(w, struct {
+		Calls   int64 `json:"calls"`
+		Watches int   `json:"watches"`
+	}{calls, watches})
+}
+
+func (s *Store) handleList(w http.ResponseWriter, r *http.Request) {
+	limit, err := strconv.Atoi(r.FormValue("limit"))
+	if err != nil || limit < 1 {
+		limit = 100
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := store.Page{Items: s.list(r.FormValue("prefix"), r.FormValue("after")), Revision: s.revision}
+	if len(p.Items) > limit {
+		p.Items, p.More = p.Items[:limit], true
+	}
+	if r.FormValue("fields") == "version" {
+		for i := range p.Items {
+			p.Items[i].Body = nil
+		}
+	}
+	writeJSON(w, p)
+}
+
+func (s *Store) handleGet(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := s.objects
+	if s.faults.Stale {
+		from = s.first
+	}
+	o, ok := from[r.PathValue("key")]
+	if !ok {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("ETag", `"`+strconv.FormatInt(o.Version, 10)+`"`)
+	_, _ = w.Write(o.Body)
+}
+
+func (s *Store) handleWrite(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, store.MaxObjectBytes+1))
+	if err != nil || len(body) > store.MaxObjectBytes {
+		http.Error(w, "body too large or cut", http.StatusRequestEntityTooLarge)
+		return
+	}
+	key := r.PathValue("key")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.matches(r, key) {
+		http.Error(w, "version differs", http.StatusPreconditionFailed)
+		return
+	}
+	s.put(store.Object{Key: key, Body: body, Deleted: r.Method == http.MethodDelete})
+	if s.faults.LoseAnswers > 0 && strings.HasPrefix(key, s.faults.LosePrefix) {
+		s.faults.LoseAnswers--
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("ETag", `"`+strconv.FormatInt(s.revision, 10)+`"`)
+}
+
+func (s *Store) matches(r *http.Request, key string) bool {
+	o, exists := s.objects[key]
+	if r.Header.Get("If-None-Match") == "*" {
+		return !exists
+	}
+	want := r.Header.Get("If-Match")
+	return want == "" || exists && want == `"`+strconv.FormatInt(o.Version, 10)+`"`
+}
+
+func (s *Store) put(o store.Object) {
+	s.revision++
+	o.Version = s.revision
+	if o.Deleted {
+		delete(s.objects, o.Key)
+	} else {
+		s.objects[o.Key] = o
+		if _, ok := s.first[o.Key]; !ok {
+			s.first[o.Key] = o
+		}
+	}
+	s.history = append(s.history, o)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) handleWatch(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.ParseInt(r.FormValue("from"), 10, 64)
+	prefix := r.FormValue("prefix")
+	rc := http.NewResponseController(w)
+	enc := json.NewEncoder(w)
+	s.mu.Lock()
+	s.watches++
+	down := s.down
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.watches--
+		s.mu.Unlock()
+	}()
+	_ = rc.Flush()
+	for {
+		events, next, changed := s.since(prefix, from)
+		from = next
+		for _, o := range events {
+			if enc.Encode(o) != nil {
+				return
+			}
+		}
+		if rc.Flush() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-down:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns the events after a revision, less those that a fault drops.
+func (s *Store) since(prefix string, from int64) (events []store.Object, next int64, changed chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, _ := slices.BinarySearchFunc(s.history, from+1, func(o store.Object, v int64) int { return int(o.Version - v) })
+	for _, o := range s.history[i:] {
+		if !strings.HasPrefix(o.Key, prefix) {
+			continue
+		}
+		if s.faults.DropEvents > 0 {
+			s.faults.DropEvents--
+			continue
+		}
+		events = append(events, o)
+	}
+	return events, s.revision, s.changed
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
