proof: run daemons and stand-ins as processes behind fault proxies

Cause: the promises have to be shown with real processes under faults.

Change: a harness in test files: daemons and stand-ins as separate programs, toxiproxy before each daemon's store, a pair proxy between daemons that delays and cuts each link (daemons dial from their own IP number, so that the proxy knows the pair), and advertised addresses in the settings. First test: the official OpenAI Go client.

Conclusion: the official client completes plain and streamed requests through two daemon processes, four requests give four charges.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync/atomic"
@@ -139,14 +140,14 @@
 	c := d.cfg
 	self := peer.Node{
 		ID: c.Daemon.ID, Incarnation: time.Now().UnixNano(), Region: c.Daemon.Region,
-		AvailabilityZone: c.Daemon.AvailabilityZone, PeerAddress: ls.Peer.Addr().String(),
+		AvailabilityZone: c.Daemon.AvailabilityZone, PeerAddress: cmp.Or(c.Daemon.PeerAdvertised, ls.Peer.Addr().String()),
 	}
 	p.store = store.New(c.Platform.Store, c.Platform.StoreTimeout, c.Platform.StoreCallRate, d.log)
-	p.hub = peer.New(self, c.Session.Keys, ls.Peer, dialPeer, d.log, d.supersede)
+	p.hub = peer.New(self, c.Session.Keys, ls.Peer, dialFrom(ls.Peer.Addr()), d.log, d.supersede)
 	p.gossip = relay.New(p.hub, c.Fleet.HeartbeatInterval)
 	list := vmlist.New(c.Platform.VMList, c.Platform.StoreTimeout)
 	p.members = member.New(self, p.gossip, p.hub, list, member.Options{
-		CallerAddress: ls.Caller.Addr().String(), Interval: c.Fleet.HeartbeatInterval, SuspectAfter: c.Fleet.SuspectAfter,
+		CallerAddress: cmp.Or(c.Daemon.CallerAdvertised, ls.Caller.Addr().String()), Interval: c.Fleet.HeartbeatInterval, SuspectAfter: c.Fleet.SuspectAfter,
 		ListInterval: c.Platform.VMListInterval, WatchersPerAZ: c.Platform.WatchersPerAZ, Seeds: c.Fleet.Seeds,
 	}, d.log)
 	p.gossip.SetOverlay(p.members)
@@ -201,9 +202,15 @@
 	return chatRouter, serviceRouter
 }
 
-func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+// dialFrom returns a dialer whose connections come from the IP number that this daemon listens on.
+func dialFrom(listen net.Addr) peer.Dialer {
 	var nd net.Dialer
-	return nd.DialContext(ctx, "tcp", address)
+	if tcp, ok := listen.(*net.TCPAddr); ok && !tcp.IP.IsUnspecified() {
+		nd.LocalAddr = &net.TCPAddr{IP: tcp.IP}
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return nd.DialContext(ctx, "tcp", address)
+	}
 }
 
 // supersede stops this daemon at once: a newer process has its ID.
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -26,6 +26,9 @@
 	CallerAddress    string
 	PeerAddress      string
 	OperatorAddress  string
+	// CallerAdvertised and PeerAdvertised are what others connect to, if that differs from the addresses listened on.
+	CallerAdvertised string
+	PeerAdvertised   string
 	// OperatorKey is asked of operators' requests; empty asks for none.
 	OperatorKey string
 }
@@ -116,6 +119,8 @@
 		CallerAddress:    d.Address(s, "callerAddress", "127.0.0.1:8080"),
 		PeerAddress:      d.Address(s, "peerAddress", "127.0.0.1:7080"),
 		OperatorAddress:  d.Address(s, "operatorAddress", "127.0.0.1:9080"),
+		CallerAdvertised: d.Address(s, "callerAdvertised", ""),
+		PeerAdvertised:   d.Address(s, "peerAdvertised", ""),
 		OperatorKey:      d.String(s, "operatorKey", ""),
 	}
 }
--- /dev/null
+++ b/internal/proof/processes/main_test.go
@@ -0,0 +1,44 @@
+package processes
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// binaries are the programs under test, built once.
+var binaries struct {
+	daemon   string
+	standins string
+}
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "pollencourse-proof-")
+	if err != nil {
+		panic(err)
+	}
+	binaries.daemon = filepath.Join(dir, "pollencourse")
+	binaries.standins = filepath.Join(dir, "standins")
+	if err := build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func build(dir string) error {
+	args := []string{"build", "-o", dir}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	args = append(args, "github.com/pollencourse/pollencourse/cmd/pollencourse", "github.com/pollencourse/pollencourse/cmd/standins")
+	out, err := exec.Command("go", args...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proof/processes/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package processes
+
+const raceEnabled = false
--- /dev/null
+++ b/internal/proof/processes/path_test.go
@@ -0,0 +1,56 @@
+package processes
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencourse/pollencourse/internal/standin/engine"
+	"github.com/pollencourse/pollencourse/internal/standin/world"
+)
+
+// smallLayout has two engines and two booking servers in each of the places.
+func smallLayout(places ...place) world.Layout {
+	var l world.Layout
+	for _, p := range places {
+		z := world.Zone{Region: p.region, AvailabilityZone: p.zone}
+		l.Engines = append(l.Engines, world.EngineGroup{Zone: z, Count: 2, Spec: engine.Spec{
+			Serves: map[string]float64{"small@1": 0.95}, FirstToken: 2 * time.Millisecond, TokenGap: time.Millisecond, Tokens: 10, Slots: 32,
+		}})
+		l.Bookings = append(l.Bookings,
+			world.BookingGroup{Zone: z, Count: 2, Service: "bookings"},
+			world.BookingGroup{Zone: z, Count: 1, Service: "prices"})
+	}
+	return l
+}
+
+func TestOfficialClientCompletesPlainAndStreamedRequests(t *testing.T) {
+	c := start(t, options{layout: smallLayout(pwaniA, pwaniB), places: []place{pwaniA, pwaniB}})
+	c.mustPut("quotes", quotesTemplate(), 0)
+	for _, d := range c.daemons {
+		client := openai.NewClient(option.WithBaseURL("http://"+d.caller+"/v1"), option.WithAPIKey(testKey))
+		params := openai.ChatCompletionNewParams{
+			Model:    "auto",
+			Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("Draft a quote for 80 guests.")},
+		}
+		plain, err := client.Chat.Completions.New(context.Background(), params)
+		require.NoError(t, err)
+		require.Equal(t, "stop", plain.Choices[0].FinishReason)
+		require.Len(t, strings.Fields(plain.Choices[0].Message.Content), 10)
+
+		stream := client.Chat.Completions.NewStreaming(context.Background(), params)
+		var acc openai.ChatCompletionAccumulator
+		for stream.Next() {
+			acc.AddChunk(stream.Current())
+		}
+		require.NoError(t, stream.Err())
+		require.Equal(t, "stop", acc.Choices[0].FinishReason)
+		require.Len(t, strings.Fields(acc.Choices[0].Message.Content), 10)
+	}
+	c.eventually(5*time.Second, "four charges are stored", func() bool { return len(c.charges().Charges) == 4 })
+}
