fleet: keep every charge and every booking through kills, pauses and outages

Cause: the first runs of the process proofs failed. (1) Charges of a killed daemon lived only at its stand-by while the store was down, so a second kill lost them; a stand-by also waited two suspicion times before it wrote. (2) A request waited on a server's time aside without anyone waking it, up to 30 s. (3) A retry asked a frozen daemon for its intent for 2 s each. (4) A request whose servers had all failed waited for its deadline.

Ruled out: a third copy of each charge, which doubles the traffic of every request for a case that re-protection covers.

Change: a stand-by writes as soon as the origin is suspected, gone or restarted, and passes what it holds on while the store is down; flushes are serialised; the head of a queue looks again every 20 ms; times aside end after 4 s; intent queries end after 500 ms; an attempt fails at once when every server failed. New: leases in the store with fencing numbers and the placement of versions on engines under them.

Conclusion: two daemons that are lost within the suspicion time of each other can still lose what only they held; docs/PROOFS.md will say so.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -21,8 +21,10 @@
 	"github.com/pollencourse/pollencourse/internal/fleet/charge"
 	"github.com/pollencourse/pollencourse/internal/fleet/evidence"
 	"github.com/pollencourse/pollencourse/internal/fleet/intent"
+	"github.com/pollencourse/pollencourse/internal/fleet/lease"
 	"github.com/pollencourse/pollencourse/internal/fleet/member"
 	"github.com/pollencourse/pollencourse/internal/fleet/peer"
+	"github.com/pollencourse/pollencourse/internal/fleet/placement"
 	"github.com/pollencourse/pollencourse/internal/fleet/relay"
 	"github.com/pollencourse/pollencourse/internal/platform/rater"
 	"github.com/pollencourse/pollencourse/internal/platform/store"
@@ -168,8 +170,7 @@
 
 func (d *Daemon) buildState(p *parts) {
 	p.ledger = charge.New(p.store, p.hub, p.members, charge.Options{
-		Flush: d.cfg.Fleet.ChargeFlush, TakeOver: 2 * d.cfg.Fleet.SuspectAfter,
-		MaxHeld: d.cfg.Limits.MaxHeldCharges, HoldTimeout: holdTimeout,
+		Flush: d.cfg.Fleet.ChargeFlush, MaxHeld: d.cfg.Limits.MaxHeldCharges, HoldTimeout: holdTimeout,
 	}, d.log)
 	p.intents = intent.New(p.store, p.hub, p.members, d.log)
 	p.proof = evidence.New(p.hub.Self(), p.gossip, p.members, p.inForce, evidenceInterval, d.log)
@@ -189,19 +190,35 @@
 		ratingService = rater.New(c.Platform.Rater, c.Platform.StoreTimeout)
 	}
 	ratings := chat.NewRatingQueue(ratingService, d.log)
+	engines := engine.New(engine.DefaultDial(), c.Limits.MaxAnswerBytes, c.Limits.StreamStall)
 	chatRouter := chat.New(chat.Deps{
-		Engines: engine.New(engine.DefaultDial(), c.Limits.MaxAnswerBytes, c.Limits.StreamStall),
-		Pool:    places, Evidence: p.proof, Policies: p.inForce, Charges: p.ledger, Ratings: ratings,
+		Engines: engines, Pool: places, Evidence: p.proof, Policies: p.inForce, Charges: p.ledger, Ratings: ratings,
 		Learner: chat.NewLearner(), Stale: func() bool { return p.watcher.SinceSeen() > staleAfter }, Log: d.log,
 	})
 	serviceRouter := service.New(backend.New(engine.DefaultDial(), c.Limits.MaxAnswerBytes), places, p.intents, p.ledger, d.log)
 	d.kernel.Add("servers", places)
+	d.kernel.Add("placement", d.buildPlacement(p, engines))
 	d.kernel.Add("ratings", ratings)
 	d.kernel.Add("chat", chatRouter)
 	d.kernel.Add("services", serviceRouter)
 	return chatRouter, serviceRouter
 }
 
+func (d *Daemon) buildPlacement(p *parts, engines *engine.Client) *placement.Service {
+	c := d.cfg.Platform
+	held := lease.New(p.store, "placement-"+d.cfg.Daemon.Region, d.cfg.Daemon.ID,
+		lease.Options{Duration: c.LeaseDuration, Margin: c.LeaseDuration / leaseMarginPart}, d.log)
+	return placement.New(held, engines, p.members, p.inForce, placement.Options{
+		Region: d.cfg.Daemon.Region, Interval: c.LeaseDuration / renewalsPerLease,
+		Flight: c.OrderFlight, AtOnce: c.LoadsAtOnce,
+	}, d.log)
+}
+
+const (
+	leaseMarginPart  = 10
+	renewalsPerLease = 4
+)
+
 // dialFrom returns a dialer whose connections come from the IP number that this daemon listens on.
 func dialFrom(listen net.Addr) peer.Dialer {
 	var nd net.Dialer
--- a/internal/core/kernel/kernel.go
+++ b/internal/core/kernel/kernel.go
@@ -23,7 +23,6 @@
 type entry struct {
 	name    string
 	service any
-	cancel  context.CancelFunc
 	done    chan struct{}
 }
 
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -42,6 +42,12 @@
 	VMListInterval time.Duration
 	StoreCallRate  int
 	WatchersPerAZ  int
+	// LeaseDuration is how long the right to give orders outlives its last renewal.
+	LeaseDuration time.Duration
+	// OrderFlight is the longest time from sending an order to an engine until it has taken effect.
+	OrderFlight time.Duration
+	// LoadsAtOnce is how many engines of a region load weights at a time.
+	LoadsAtOnce int
 }
 
 // Session holds the keys that sign session tokens; the first signs, all verify.
@@ -134,6 +140,9 @@
 		StoreTimeout:   d.Duration(s, "storeTimeout", 2*time.Second, 10*time.Millisecond, time.Minute),
 		VMListInterval: d.Duration(s, "vmListInterval", time.Second, 10*time.Millisecond, time.Minute),
 		StoreCallRate:  d.Int(s, "storeCallRate", 50, 1, 10_000),
+		LeaseDuration:  d.Duration(s, "leaseDuration", 20*time.Second, 200*time.Millisecond, 10*time.Minute),
+		OrderFlight:    d.Duration(s, "orderFlight", 5*time.Second, 10*time.Millisecond, 5*time.Minute),
+		LoadsAtOnce:    d.Int(s, "loadsAtOnce", 2, 1, 1000),
 		WatchersPerAZ:  d.Int(s, "watchersPerAvailabilityZone", 2, 1, 100),
 	}
 }
@@ -141,7 +150,7 @@
 const (
 	minKeyBytes  = 16
 	sessionIdle  = 24 * time.Hour
-	yearOfHours  = 365 * 24 * time.Hour
+	longestLife  = 365 * 24 * time.Hour
 	maxBodyLimit = 1 << 30
 )
 
@@ -149,7 +158,7 @@
 	s := d.Only("session")
 	out := Session{
 		Keys:     d.List(s, "keys"),
-		Lifetime: d.Duration(s, "lifetime", sessionIdle, time.Minute, yearOfHours),
+		Lifetime: d.Duration(s, "lifetime", sessionIdle, time.Minute, longestLife),
 	}
 	if len(out.Keys) == 0 {
 		d.Faults.Add(s.Pos, "set keys = KEY in [session], the same on every daemon", "no session key")
--- a/internal/decide/admission/queue.go
+++ b/internal/decide/admission/queue.go
@@ -63,20 +63,25 @@
 	return nil
 }
 
+// recheck is how often the head looks again on its own, since a server's time aside ends without a signal.
+const recheck = 20 * time.Millisecond
+
 // waitTurn waits to become the head, then for a change after which try succeeds.
 func (q *Queue) waitTurn(ctx context.Context, w *waiter, try func() bool, changed func() <-chan struct{}) error {
 	defer q.leave(w)
 	for {
 		var wake <-chan struct{} = w.ready
+		var again <-chan time.Time
 		if q.head(w) {
 			ch := changed()
 			if try() {
 				return nil
 			}
-			wake = ch
+			wake, again = ch, time.After(recheck)
 		}
 		select {
 		case <-wake:
+		case <-again:
 		case <-ctx.Done():
 			return tooLate(ctx.Err())
 		}
--- a/internal/decide/balance/server.go
+++ b/internal/decide/balance/server.go
@@ -27,8 +27,8 @@
 	maxLimit       = 512.0
 	shrink         = 0.9
 	firstSetAside  = 250 * time.Millisecond
-	maxSetAside    = 30 * time.Second
-	leavingAside   = 30 * time.Second
+	maxSetAside    = 4 * time.Second
+	leavingAside   = 4 * time.Second
 	latencySmooth  = 0.1
 	reportLifetime = 10 * time.Second
 )
--- a/internal/fleet/charge/hold.go
+++ b/internal/fleet/charge/hold.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -80,9 +79,7 @@
 		}
 	}
 	l.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, l.opts.HoldTimeout)
-	defer cancel()
-	if l.calls.Call(callCtx, n, serviceHold, req, nil) != nil {
+	if l.holdOnce(ctx, n, req) != nil {
 		return false
 	}
 	l.mu.Lock()
@@ -181,12 +178,6 @@
 	l.protect(nil)
 }
 
-func (l *Ledger) isLive(o origin) bool {
-	return slices.ContainsFunc(l.members.Live(), func(m member.Member) bool {
-		return m.ID == o.id && m.Incarnation == o.incarnation && !m.Suspected
-	})
-}
-
 // announceStored lets the stand-by forget what the store has.
 func (l *Ledger) announceStored() {
 	l.mu.Lock()
@@ -195,9 +186,7 @@
 	l.mu.Unlock()
 	for _, m := range l.members.Live() {
 		if m.ID == present.id {
-			ctx, cancel := context.WithTimeout(context.Background(), l.opts.HoldTimeout)
-			_ = l.calls.Call(ctx, m.Node, serviceHold, req, nil)
-			cancel()
+			_ = l.holdOnce(context.Background(), m.Node, req)
 		}
 	}
 }
@@ -239,60 +228,3 @@
 	}
 	b.charges = append(b.charges, h.GetCharge())
 }
-
-// takeOver writes the batches of origins that are lost.
-func (l *Ledger) takeOver(ctx context.Context) {
-	for _, b := range l.lostBatches() {
-		if !l.write(ctx, b) {
-			return
-		}
-		l.mu.Lock()
-		l.counts.TakenOver += int64(len(b.charges))
-		l.forget(b)
-		l.mu.Unlock()
-		l.log.Emit(event.ChargeBatchTaken, "key", b.key(), "charges", len(b.charges))
-	}
-}
-
-// forget drops the charges of a written batch, but not those that came meanwhile; l.mu is held.
-func (l *Ledger) forget(b *batch) {
-	if cur := l.held[b.origin][b.sequence]; cur != nil && len(cur.charges) > len(b.charges) {
-		cur.charges = cur.charges[len(b.charges):]
-		return
-	}
-	delete(l.held[b.origin], b.sequence)
-	if len(l.held[b.origin]) == 0 {
-		delete(l.held, b.origin)
-		delete(l.lostAt, b.origin)
-	}
-}
-
-// lostBatches returns what is held for origins that have not been live for the take-over time.
-func (l *Ledger) lostBatches() []*batch {
-	live := map[origin]bool{}
-	for _, m := range l.members.Live() {
-		if !m.Suspected {
-			live[origin{m.ID, m.Incarnation}] = true
-		}
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var out []*batch
-	for o, byseq := range l.held {
-		if live[o] {
-			delete(l.lostAt, o)
-			continue
-		}
-		if l.lostAt[o].IsZero() {
-			l.lostAt[o] = time.Now()
-		}
-		if time.Since(l.lostAt[o]) < l.opts.TakeOver {
-			continue
-		}
-		for _, b := range byseq {
-			out = append(out, &batch{origin: b.origin, sequence: b.sequence, charges: slices.Clone(b.charges)})
-		}
-	}
-	slices.SortFunc(out, func(a, b *batch) int { return int(a.sequence - b.sequence) })
-	return out
-}
--- a/internal/fleet/charge/ledger.go
+++ b/internal/fleet/charge/ledger.go
@@ -41,7 +41,6 @@
 // Options sets the bounds of the ledger.
 type Options struct {
 	Flush       time.Duration
-	TakeOver    time.Duration
 	MaxHeld     int
 	HoldTimeout time.Duration
 }
@@ -55,12 +54,16 @@
 	log     *event.Log
 	self    origin
 
+	// flushing serialises flushes, so that a refused batch is batched again only once.
+	flushing sync.Mutex
+
 	mu       sync.Mutex
 	sequence int64
 	open     []*peerpb.Charge
 	sealed   []*batch
 	held     map[origin]map[int64]*batch
-	lostAt   map[origin]time.Time
+	// passedTo is the daemon that holds the charges of a lost origin as well, while the store is down.
+	passedTo map[origin]origin
 	stored   int64
 	standBy  origin
 	waiting  []holdWaiter
@@ -83,7 +86,7 @@
 	l := &Ledger{
 		objects: objects, calls: calls, members: members, opts: opts, log: log,
 		self: origin{self.ID, self.Incarnation}, sequence: 1,
-		held: map[origin]map[int64]*batch{}, lostAt: map[origin]time.Time{},
+		held: map[origin]map[int64]*batch{}, passedTo: map[origin]origin{},
 	}
 	calls.Handle(serviceHold, l.handleHold)
 	return l
@@ -120,7 +123,7 @@
 // Add takes a charge and returns once a second daemon holds it, or the store has it.
 //
 // If neither can be reached the charge is kept here alone, which is logged.
-func (l *Ledger) Add(ctx context.Context, c *peerpb.Charge) {
+func (l *Ledger) Add(c *peerpb.Charge) {
 	done := make(chan struct{})
 	l.mu.Lock()
 	l.counts.Added++
@@ -128,10 +131,7 @@
 	l.waiting = append(l.waiting, holdWaiter{charge: c, sequence: l.sequence, done: done})
 	l.startHolding()
 	l.mu.Unlock()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	<-done
 }
 
 // append puts a charge into the open batch and seals a full one first.
@@ -199,6 +199,8 @@
 
 // Flush writes all sealed batches and the open one.
 func (l *Ledger) Flush(ctx context.Context) {
+	l.flushing.Lock()
+	defer l.flushing.Unlock()
 	l.mu.Lock()
 	l.seal()
 	sealed := slices.Clone(l.sealed)
--- a/internal/fleet/intent/service.go
+++ b/internal/fleet/intent/service.go
@@ -20,6 +20,9 @@
 
 const serviceQuery = "intent.query"
 
+// queryTimeout is how long the daemon that wrote an intent may take to say what became of it.
+const queryTimeout = 500 * time.Millisecond
+
 // Objects is what intents need of the store.
 type Objects interface {
 	Get(ctx context.Context, key string) (store.Object, error)
@@ -243,6 +246,8 @@
 		if m.Incarnation != r.Incarnation {
 			return errors.Newf("daemon %s was restarted", r.Daemon)
 		}
+		ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+		defer cancel()
 		return s.calls.Call(ctx, m.Node, serviceQuery, &peerpb.IntentQuery{Nonce: r.Nonce}, out)
 	}
 	return errors.Newf("daemon %s is gone", r.Daemon)
--- a/internal/proof/processes/cluster_test.go
+++ b/internal/proof/processes/cluster_test.go
@@ -55,14 +55,15 @@
 
 // cluster is a set of processes under test.
 type cluster struct {
-	t       *testing.T
-	dir     string
-	world   world.World
-	links   *links
-	daemons []*daemonProc
-	client  *http.Client
-	extra   string
-	toxi    *toxiproxy.ApiServer
+	t        *testing.T
+	dir      string
+	world    world.World
+	links    *links
+	daemons  []*daemonProc
+	client   *http.Client
+	extra    string
+	platform string
+	toxi     *toxiproxy.ApiServer
 }
 
 // options says what to start.
@@ -71,7 +72,9 @@
 	places []place
 	// extra is put into each settings file's [fleet] section.
 	extra string
-	flat  bool
+	// platform is put into each settings file's [platform] section.
+	platform string
+	flat     bool
 }
 
 var nextIP = 10
@@ -79,7 +82,7 @@
 func start(t *testing.T, o options) *cluster {
 	t.Helper()
 	places := map[string]string{}
-	c := &cluster{t: t, dir: t.TempDir(), extra: o.extra, client: &http.Client{
+	c := &cluster{t: t, dir: t.TempDir(), extra: o.extra, platform: o.platform, client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: 60 * time.Second,
 	}}
 	c.links = newLinks(func(from, to string) time.Duration {
@@ -154,7 +157,7 @@
 vmListInterval = 200ms
 storeTimeout = 1s
 storeCallRate = 200
-[session]
+%[11]s[session]
 keys = proof-session-key-1
 [limits]
 streamStall = 1s
@@ -164,7 +167,7 @@
 entriesLifetime = 500ms
 chargeFlush = 200ms
 %[10]s
-`, d.id, p.region, p.zone, d.caller, d.peer, advertised, d.operator, d.store.Listen, c.world.PlatformURL, c.extra)
+`, d.id, p.region, p.zone, d.caller, d.peer, advertised, d.operator, d.store.Listen, c.world.PlatformURL, c.extra, c.platform)
 	require.NoError(c.t, os.WriteFile(d.settings, []byte(text), 0o600))
 	c.setVM(vmlist.VM{ID: d.id, Kind: vmlist.Entry, Region: p.region, AvailabilityZone: p.zone, Address: d.caller, PeerAddress: advertised})
 	c.daemons = append(c.daemons, d)
--- a/internal/route/chat/attempt.go
+++ b/internal/route/chat/attempt.go
@@ -102,7 +102,7 @@
 
 // reconsider lets the request use all servers again once each of them failed.
 func (u *run) reconsider(version string) {
-	if waiting, free := u.router.pool.Pressure(version); waiting == 0 && free < 1 {
+	if u.router.pool.Exhausted(version, u.avoid) {
 		u.avoid = nil
 	}
 }
--- a/internal/route/chat/complete.go
+++ b/internal/route/chat/complete.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		return err
 	}
-	u.router.charges.Add(ctx, u.charge(version, "whole"))
+	u.router.charges.Add(u.charge(version, "whole"))
 	body := whole.Body
 	if !u.req.Chat.Logprobs {
 		body = stripLogprobs(body)
--- a/internal/route/chat/router.go
+++ b/internal/route/chat/router.go
@@ -32,6 +32,7 @@
 	Release(t balance.Target, o balance.Outcome, rep balance.Report, took time.Duration)
 	Leaving(t balance.Target)
 	Usable(offer string) bool
+	Exhausted(offer string, avoid []string) bool
 	Latency(offer string) time.Duration
 	Pressure(offer string) (waiting int, free float64)
 }
@@ -52,7 +53,7 @@
 
 // Charges takes what an answer costs.
 type Charges interface {
-	Add(ctx context.Context, c *peerpb.Charge)
+	Add(c *peerpb.Charge)
 }
 
 // Ratings takes answers to be rated.
--- a/internal/route/chat/stream.go
+++ b/internal/route/chat/stream.go
@@ -88,7 +88,7 @@
 		return u.endEarly(ctx, sink, err)
 	}
 	u.learnStream(sink)
-	u.router.charges.Add(ctx, u.charge(sink.version, "whole"))
+	u.router.charges.Add(u.charge(sink.version, "whole"))
 	if _, err := w.Write(endOfAll); err != nil {
 		return err
 	}
@@ -106,7 +106,7 @@
 		v := u.version(sink.version)
 		u.usage = engine.Usage{Completion: int64(sink.passed)}
 		u.cost = float64(sink.passed) * v.CompletionCost
-		u.router.charges.Add(context.WithoutCancel(ctx), u.charge(sink.version, "cancelled"))
+		u.router.charges.Add(u.charge(sink.version, "cancelled"))
 	}
 	return err
 }
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -125,6 +126,9 @@
 	if !p.Usable(need.Offer) {
 		return balance.Target{}, fault.New(fault.Unavailable, "start a backend server that offers it", "no backend server offers %s", need.Offer)
 	}
+	if p.Exhausted(need.Offer, need.Avoid) {
+		return balance.Target{}, fault.New(fault.Unavailable, "check its backend servers", "every backend server that offers %s failed", need.Offer)
+	}
 	var got balance.Target
 	try := func() bool {
 		t, ok := p.tryAcquire(need)
@@ -135,6 +139,16 @@
 	return got, err
 }
 
+// Exhausted reports whether every server of an offer that could be used is in avoid.
+func (p *Pool) Exhausted(offer string, avoid []string) bool {
+	for _, t := range p.Targets(offer) {
+		if !t.Leaving && !slices.Contains(avoid, t.ID) {
+			return false
+		}
+	}
+	return true
+}
+
 // tryAcquire looks in the own region first and spills over within the link's budget.
 func (p *Pool) tryAcquire(need Need) (balance.Target, bool) {
 	ask := balance.Ask{Targets: p.Targets(need.Offer), Prefix: need.Prefix, Avoid: need.Avoid}
--- a/internal/route/service/once.go
+++ b/internal/route/service/once.go
@@ -24,7 +24,7 @@
 		return nil, err
 	}
 	if recorded != nil {
-		r.charge(ctx, req)
+		r.charge(req)
 		return &Answer{Status: recorded.Status, ContentType: recorded.ContentType, Body: recorded.Body, Recorded: true}, nil
 	}
 	return r.runGuarded(ctx, req, in)
@@ -47,7 +47,7 @@
 	case f != nil:
 		return nil, failed(f, fault.Unknown)
 	}
-	r.charge(ctx, req)
+	r.charge(req)
 	return &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body}, nil
 }
 
@@ -68,7 +68,7 @@
 			"the service gave no whole answer").WithCause(f).WithOutcome(fault.Unknown)
 	}
 	in.Done(settleCtx, intent.Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body})
-	r.charge(settleCtx, req)
+	r.charge(req)
 	return &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body}, nil
 }
 
--- a/internal/route/service/repeatable.go
+++ b/internal/route/service/repeatable.go
@@ -37,7 +37,7 @@
 			return nil, e.WithOutcome(outcome)
 		}
 		if res.failure == nil {
-			r.charge(ctx, req)
+			r.charge(req)
 			return &Answer{Status: res.answer.Status, ContentType: res.answer.ContentType, Body: res.answer.Body}, nil
 		}
 		if res.failure.Sent != engine.Unsent {
--- a/internal/route/service/router.go
+++ b/internal/route/service/router.go
@@ -39,7 +39,7 @@
 
 // Charges takes what a call costs.
 type Charges interface {
-	Add(ctx context.Context, c *peerpb.Charge)
+	Add(c *peerpb.Charge)
 }
 
 // Request is a call whose caller is known.
@@ -138,8 +138,8 @@
 	return a, f
 }
 
-func (r *Router) charge(ctx context.Context, req *Request) {
-	r.charges.Add(ctx, &peerpb.Charge{
+func (r *Router) charge(req *Request) {
+	r.charges.Add(&peerpb.Charge{
 		RequestId: req.RequestID, Account: req.Policy.Account, Template: req.Policy.Template,
 		Class: req.Service.Name, MicroUnits: int64(req.Service.Cost), AtUnixMs: time.Now().UnixMilli(),
 		Attempts: 1, Outcome: "whole",
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -172,12 +173,15 @@
 	words   []string
 	start   time.Time
 	done    bool
+	// skip is the number of chunks that the receiver has from an earlier connection.
+	skip int
 }
 
 func (e *Engine) newAnswer(r *http.Request, req request, quality float64, f Faults) *answer {
 	a := &answer{engine: e, req: req, faults: f, start: time.Now()}
 	a.attempt = r.Header.Get("X-Request-Id")
 	a.echo = a.attempt
+	a.skip, _ = strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	if f.Crossed {
 		a.echo = "another-" + a.attempt
 	}
@@ -236,12 +240,8 @@
 	rc := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	head := fmt.Sprintf(`data: {"id":%q,"object":"chat.completion.chunk","created":%d,"model":%q,"choices":[`, a.id(), a.start.Unix(), a.req.Model)
-	for i, word := range a.words {
-		if a.faults.CutAfter > 0 && i >= a.faults.CutAfter {
-			panic(http.ErrAbortHandler)
-		}
-		if a.faults.StallAfter > 0 && i >= a.faults.StallAfter {
-			<-ctx.Done()
+	for i, word := range a.words[min(a.skip, len(a.words)):] {
+		if a.breaks(ctx, i+a.skip) {
 			return
 		}
 		if _, err := fmt.Fprintf(w, "%s{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", head, word); err != nil {
@@ -260,6 +260,19 @@
 	a.done = err == nil && ctx.Err() == nil
 }
 
+// breaks cuts the connection or stalls where a fault says so; it returns true after a stall.
+func (a *answer) breaks(ctx context.Context, i int) bool {
+	f := a.faults
+	if f.CutOnceAfter > 0 && a.skip == 0 && i >= f.CutOnceAfter || f.CutAfter > 0 && i >= f.CutAfter {
+		panic(http.ErrAbortHandler)
+	}
+	if f.StallAfter > 0 && i >= f.StallAfter {
+		<-ctx.Done()
+		return true
+	}
+	return false
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/internal/standin/engine/spec.go
+++ b/internal/standin/engine/spec.go
@@ -34,6 +34,8 @@
 	StallAfter int `json:"stallAfter"`
 	// CutAfter closes the connection after this many tokens; 0 means never.
 	CutAfter int `json:"cutAfter"`
+	// CutOnceAfter closes the first connection of each stream after this many tokens; it can be resumed.
+	CutOnceAfter int `json:"cutOnceAfter"`
 	// Crossed makes it answer with another request's ID.
 	Crossed bool `json:"crossed"`
 	// DelayMs delays the first token further, in milliseconds.
