chat: cost less a request; peers keep their streams

The profile showed JSON (15 %, every answer asked for and stripped log-probabilities), a yamux stream opened and closed for each hold of a charge, one hold in flight at a time, tagged metric scopes looked up a request, and summaries as timers.

Ruled out: editing request bodies in place. A field that stands twice would then reach the engine twice, and the engine might run another model than the one that was checked; bodies are still rebuilt from a map.

Change: log-probabilities only where a cascade or a rating needs them; answers read by gjson; calls between daemons reuse streams; four holds in flight; metrics kept by kind of end; rarer garbage collections under a memory limit; pprof on the operator address.

--- a/cmd/pollencourse/main.go
+++ b/cmd/pollencourse/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 
+	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 
 	"github.com/pollencourse/pollencourse/internal/app/daemon"
@@ -31,6 +32,7 @@
 func (e *exitError) Unwrap() error { return e.err }
 
 func main() {
+	uuid.EnableRandPool()
 	root := newRoot()
 	err := root.Execute()
 	if err == nil {
--- a/cmd/pollencourse/serve.go
+++ b/cmd/pollencourse/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -13,6 +14,12 @@
 	"github.com/pollencourse/pollencourse/internal/core/settings"
 )
 
+const (
+	// gcPercent lets garbage collections be rare; memoryLimit, in bytes, makes them frequent when it is near.
+	gcPercent   = 400
+	memoryLimit = 224 << 20
+)
+
 func newServe() *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
@@ -38,6 +45,8 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	ls, err := daemon.Listen(cfg)
 	if err != nil {
 		return err
--- a/internal/app/daemon/metrics.go
+++ b/internal/app/daemon/metrics.go
@@ -19,7 +19,10 @@
 
 func newMetrics(daemonID string) metrics {
 	registry := prom.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry, OnRegisterError: func(error) {}})
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry, Gatherer: registry, DefaultTimerType: prometheus.HistogramTimerType,
+		OnRegisterError: func(error) {},
+	})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "pollencourse", Tags: map[string]string{"daemon": daemonID},
 		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
--- a/internal/back/engine/complete.go
+++ b/internal/back/engine/complete.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"math"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tidwall/gjson"
 
 	"github.com/pollencourse/pollencourse/internal/decide/balance"
 )
@@ -55,40 +55,35 @@
 	return a.load
 }
 
+// answerFields are the parts of an answer that the router needs, in the order of their use.
+var answerFields = []string{
+	"choices.0.finish_reason", "choices.0.message.content", "usage.prompt_tokens", "usage.completion_tokens",
+	"choices.0.logprobs.content.#.logprob",
+}
+
 // read checks that the body is a whole answer and takes out what the router needs.
 func (w *Whole) read() *Failure {
-	var in struct {
-		Choices []struct {
-			FinishReason string `json:"finish_reason"`
-			Message      struct {
-				Content string `json:"content"`
-			} `json:"message"`
-			Logprobs *struct {
-				Content []struct {
-					Logprob float64 `json:"logprob"`
-				} `json:"content"`
-			} `json:"logprobs"`
-		} `json:"choices"`
-		Usage struct {
-			PromptTokens     int64 `json:"prompt_tokens"`
-			CompletionTokens int64 `json:"completion_tokens"`
-		} `json:"usage"`
+	if !gjson.ValidBytes(w.Body) {
+		return &Failure{Sent: Answering, Reason: Incomplete, Cause: errors.New("answer is not JSON")}
 	}
-	if err := json.Unmarshal(w.Body, &in); err != nil {
-		return &Failure{Sent: Answering, Reason: Incomplete, Cause: err}
-	}
-	if len(in.Choices) == 0 || in.Choices[0].FinishReason == "" {
+	f := gjson.GetManyBytes(w.Body, answerFields...)
+	if f[0].String() == "" {
 		return &Failure{Sent: Answering, Reason: Incomplete, Cause: errors.New("no finish reason")}
 	}
-	w.Text = in.Choices[0].Message.Content
-	w.Usage = Usage{Prompt: in.Usage.PromptTokens, Completion: in.Usage.CompletionTokens}
-	w.Confidence = -1
-	if lp := in.Choices[0].Logprobs; lp != nil && len(lp.Content) > 0 {
-		sum := 0.0
-		for _, t := range lp.Content {
-			sum += t.Logprob
-		}
-		w.Confidence = math.Exp(sum / float64(len(lp.Content)))
-	}
+	w.Text = f[1].String()
+	w.Usage = Usage{Prompt: f[2].Int(), Completion: f[3].Int()}
+	w.Confidence = meanProbability(f[4].Array())
 	return nil
 }
+
+// meanProbability is the geometric mean of token probabilities, or -1 without any.
+func meanProbability(logprobs []gjson.Result) float64 {
+	if len(logprobs) == 0 {
+		return -1
+	}
+	sum := 0.0
+	for _, p := range logprobs {
+		sum += p.Float()
+	}
+	return math.Exp(sum / float64(len(logprobs)))
+}
--- a/internal/edge/caller/server.go
+++ b/internal/edge/caller/server.go
@@ -67,6 +67,7 @@
 	http     *http.Server
 	inFlight atomic.Int64
 	leaving  atomic.Bool
+	ends     ends
 }
 
 // New returns a server that does not listen yet.
@@ -164,9 +165,9 @@
 	if err != nil {
 		result = string(fault.KindOf(err))
 	}
-	tagged := s.cfg.Metrics.Tagged(map[string]string{"kind": kind, "result": result})
-	tagged.Counter("requests").Inc(1)
-	tagged.Timer("latency").Record(time.Since(began))
+	m := s.ends.of(s.cfg.Metrics, end{kind, result})
+	m.requests.Inc(1)
+	m.latency.Record(time.Since(began))
 }
 
 func (s *Server) handleChat(w http.ResponseWriter, r *http.Request) {
--- a/internal/edge/operator/server.go
+++ b/internal/edge/operator/server.go
@@ -9,6 +9,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"time"
 
@@ -96,6 +97,8 @@
 	mux.HandleFunc("GET /v1/status", s.handleStatus)
 	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.cfg.Dump()) })
 	mux.Handle("GET /metrics", s.cfg.Metrics)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return mux
 }
 
--- a/internal/fleet/charge/hold.go
+++ b/internal/fleet/charge/hold.go
@@ -25,12 +25,15 @@
 
 func isConflict(err error) bool { return errors.Is(err, store.ErrConflict) }
 
-// startHolding starts the sender unless it runs; l.mu is held.
+// maxHolders is how many calls to the stand-by may be in flight; more charges wait and go together.
+const maxHolders = 4
+
+// startHolding starts a sender unless enough run; l.mu is held.
 func (l *Ledger) startHolding() {
-	if l.holding {
+	if l.holders >= maxHolders {
 		return
 	}
-	l.holding = true
+	l.holders++
 	go l.holdLoop()
 }
 
@@ -41,7 +44,7 @@
 		waiting := l.waiting
 		l.waiting = nil
 		if len(waiting) == 0 {
-			l.holding = false
+			l.holders--
 			l.mu.Unlock()
 			return
 		}
@@ -170,7 +173,7 @@
 func (l *Ledger) protectAgain() {
 	l.mu.Lock()
 	present := l.standBy
-	idle := len(l.sealed) == 0 || l.holding
+	idle := len(l.sealed) == 0 || l.holders > 0
 	l.mu.Unlock()
 	if idle || l.isLive(present) {
 		return
--- a/internal/fleet/charge/ledger.go
+++ b/internal/fleet/charge/ledger.go
@@ -67,9 +67,10 @@
 	stored   int64
 	standBy  origin
 	waiting  []holdWaiter
-	holding  bool
-	full     bool
-	counts   counts
+	// holders is the number of calls to the stand-by in flight.
+	holders int
+	full    bool
+	counts  counts
 }
 
 type counts struct {
--- a/internal/fleet/peer/hub.go
+++ b/internal/fleet/peer/hub.go
@@ -214,15 +214,24 @@
 	h.log.Emit(event.PeerLost, "peer", s.node.ID)
 }
 
+// serveStream answers one call after another until the peer closes the stream.
 func (h *Hub) serveStream(s *session, stream *yamux.Stream) {
 	defer stream.Close()
-	_ = stream.SetDeadline(time.Now().Add(streamTimeout))
-	var req peerpb.Request
-	if err := readMessage(bufio.NewReader(stream), &req); err != nil {
-		h.log.Emit(event.PeerMessageWrong, "peer", s.node.ID, "error", err.Error())
-		return
+	r := bufio.NewReader(stream)
+	for {
+		var req peerpb.Request
+		if err := readMessage(r, &req); err != nil {
+			if !errors.Is(err, io.EOF) && !s.mux.IsClosed() {
+				h.log.Emit(event.PeerMessageWrong, "peer", s.node.ID, "error", err.Error())
+			}
+			return
+		}
+		s.used.Store(time.Now().UnixNano())
+		_ = stream.SetWriteDeadline(time.Now().Add(streamTimeout))
+		if writeMessage(stream, h.answer(s.node, &req)) != nil {
+			return
+		}
 	}
-	_ = writeMessage(stream, h.answer(s.node, &req))
 }
 
 func (h *Hub) answer(from Node, req *peerpb.Request) *peerpb.Response {
@@ -261,31 +270,23 @@
 	}
 	h.traffic.Calls.Add(1)
 	s.used.Store(time.Now().UnixNano())
-	stream, err := s.mux.OpenStream()
+	c, err := s.stream()
 	if err != nil {
 		return unreachable(to, err)
 	}
-	defer stream.Close()
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(streamTimeout)
 	}
-	_ = stream.SetDeadline(deadline)
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
-	defer stop()
-	return exchange(stream, to, service, req, resp)
-}
-
-func exchange(stream *yamux.Stream, to Node, service string, req, resp proto.Message) error {
-	body, err := proto.Marshal(req)
-	if err != nil {
-		return err
-	}
-	if err := writeMessage(stream, &peerpb.Request{Service: service, Body: body}); err != nil {
-		return unreachable(to, err)
+	_ = c.stream.SetDeadline(deadline)
+	stop := context.AfterFunc(ctx, func() { _ = c.stream.SetDeadline(time.Now()) })
+	out, err := c.exchange(service, req)
+	if !stop() || err != nil {
+		_ = c.stream.Close()
+	} else {
+		s.keep(c)
 	}
-	var out peerpb.Response
-	if err := readMessage(bufio.NewReader(stream), &out); err != nil {
+	if err != nil {
 		return unreachable(to, err)
 	}
 	if out.GetKind() != "" {
--- a/internal/route/chat/choose.go
+++ b/internal/route/chat/choose.go
@@ -36,7 +36,8 @@
 		return choice{}, fault.New(fault.NotAllowed, "ask for a model of the template, or \"auto\"",
 			"template %s allows no version of %q now", req.Policy.Template, req.Chat.Model)
 	}
-	mix, ok := r.learner.choose(r.planKey(req, versions), versions, r.goal(req))
+	settles := r.settles(req, versions)
+	mix, ok := r.learner.choose(r.planKey(req, versions, settles), versions, r.goal(req, settles))
 	if !ok {
 		return choice{}, fault.New(fault.Unavailable, "start backend servers", "no version can be planned")
 	}
@@ -46,21 +47,21 @@
 	return c, nil
 }
 
-func (r *Router) planKey(req *Request, versions []candidateOf) planKey {
+func (r *Router) planKey(req *Request, versions []candidateOf, settles bool) planKey {
 	ids := make([]string, len(versions))
 	for i, v := range versions {
 		ids[i] = v.version.ID
 	}
 	return planKey{
 		template: req.Policy.Template, account: req.Policy.Account, class: req.Class.Name,
-		revision: req.Policy.Revision, settle: r.settles(req, versions), direct: req.Chat.Stream,
+		revision: req.Policy.Revision, settle: settles, direct: req.Chat.Stream,
 		versions: strings.Join(ids, ","), left: time.Until(req.Deadline).Truncate(planStep),
 	}
 }
 
-func (r *Router) goal(req *Request) cascade.Goal {
+func (r *Router) goal(req *Request, settles bool) cascade.Goal {
 	g := cascade.Goal{Quality: req.Class.QualityTarget, TimeLeft: time.Until(req.Deadline), Z: confidence, Direct: req.Chat.Stream}
-	if r.settles(req, r.candidates(req)) {
+	if settles {
 		g.Quality = req.Class.SettleTarget
 	}
 	return g
--- a/internal/route/chat/complete.go
+++ b/internal/route/chat/complete.go
@@ -17,7 +17,7 @@
 	}
 	u.router.charges.Add(u.charge(version, "whole"))
 	body := whole.Body
-	if !u.req.Chat.Logprobs {
+	if !u.req.Chat.Logprobs && u.confidence {
 		body = stripLogprobs(body)
 	}
 	w.Head(version, u.attempts, "application/json")
@@ -28,6 +28,8 @@
 // plan runs the plan and returns the answer to use with its version.
 func (u *run) plan(ctx context.Context) (string, *engine.Whole, error) {
 	p := u.choice.plan
+	u.sampled = u.router.random() < u.req.Class.RateShare
+	u.confidence = u.sampled || p.Second != "" || u.req.Chat.Logprobs
 	first, err := u.try(ctx, p.First)
 	if err != nil {
 		return u.fallBack(ctx, err)
@@ -73,7 +75,7 @@
 
 // try sends attempts for one version until one gives a whole answer.
 func (u *run) try(ctx context.Context, version string) (*engine.Whole, error) {
-	body, err := u.req.Chat.body(version, u.req.Priority, true)
+	body, err := u.req.Chat.body(version, u.req.Priority, u.confidence)
 	if err != nil {
 		return nil, fault.New(fault.BadRequest, badChat, "request can't be encoded").WithCause(err)
 	}
--- a/internal/route/chat/rate.go
+++ b/internal/route/chat/rate.go
@@ -17,8 +17,7 @@
 // unrated answers; answers that are not shown are rated because only that teaches anything.
 func (u *run) rate(v template.Version, answer string, shown bool, fn func(good bool)) {
 	r := u.router
-	sampled := v.State == template.RollingIn || !shown || r.random() < u.req.Class.RateShare
-	if !sampled {
+	if v.State != template.RollingIn && shown && !u.sampled {
 		r.evidence.Start(keyOf(u.req.Policy, v), false)
 		return
 	}
--- a/internal/route/chat/request.go
+++ b/internal/route/chat/request.go
@@ -2,8 +2,12 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
+
 	"github.com/pollencourse/pollencourse/internal/config/template"
 	"github.com/pollencourse/pollencourse/internal/core/fault"
 )
@@ -37,41 +41,42 @@
 const badChat = "send an OpenAI chat completion request"
 
 // ParseChat reads a chat completion request.
+//
+// Of fields that stand twice the last one counts, and only that one reaches an engine.
 func ParseChat(body []byte) (Chat, error) {
 	var c Chat
 	if err := json.Unmarshal(body, &c.fields); err != nil {
 		return Chat{}, fault.New(fault.BadRequest, badChat, "body is not a JSON object").WithCause(err)
 	}
-	var in struct {
-		Model         string `json:"model"`
-		Stream        bool   `json:"stream"`
-		Logprobs      bool   `json:"logprobs"`
-		StreamOptions struct {
-			IncludeUsage bool `json:"include_usage"`
-		} `json:"stream_options"`
-		Messages []struct {
-			Content json.RawMessage `json:"content"`
-		} `json:"messages"`
+	var streaming struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	var messages []struct {
+		Content json.RawMessage `json:"content"`
 	}
-	if err := json.Unmarshal(body, &in); err != nil {
-		return Chat{}, fault.New(fault.BadRequest, badChat, "a field has the wrong type").WithCause(err)
+	for name, to := range map[string]any{
+		"model": &c.Model, "stream": &c.Stream, "logprobs": &c.Logprobs, "stream_options": &streaming, "messages": &messages,
+	} {
+		raw, ok := c.fields[name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(raw, to); err != nil {
+			return Chat{}, fault.New(fault.BadRequest, badChat, "field %q has the wrong type", name).WithCause(err)
+		}
 	}
-	if len(in.Messages) == 0 {
+	if len(messages) == 0 {
 		return Chat{}, fault.New(fault.BadRequest, badChat, "messages are missing")
 	}
-	c.Model, c.Stream, c.Logprobs, c.IncludeUsage = in.Model, in.Stream, in.Logprobs, in.StreamOptions.IncludeUsage
-	c.Prefix = text(in.Messages[0].Content)
-	c.Prompt = text(in.Messages[len(in.Messages)-1].Content)
+	c.IncludeUsage = streaming.IncludeUsage
+	c.Prefix = text(messages[0].Content)
+	c.Prompt = text(messages[len(messages)-1].Content)
 	return c, nil
 }
 
 // text returns the content of a message, which may be a string or a list of parts.
 func text(content json.RawMessage) string {
-	var s string
-	if json.Unmarshal(content, &s) == nil {
-		return s
-	}
-	return string(content)
+	return gjson.ParseBytes(content).String()
 }
 
 // body returns the request as an engine gets it.
@@ -101,22 +106,12 @@
 
 // stripLogprobs removes log-probabilities that the caller did not ask for.
 func stripLogprobs(body []byte) []byte {
-	var fields map[string]json.RawMessage
-	var choices []map[string]json.RawMessage
-	if json.Unmarshal(body, &fields) != nil || json.Unmarshal(fields["choices"], &choices) != nil {
-		return body
-	}
-	for _, c := range choices {
-		delete(c, "logprobs")
-	}
-	raw, err := json.Marshal(choices)
-	if err != nil {
-		return body
-	}
-	fields["choices"] = raw
-	out, err := json.Marshal(fields)
-	if err != nil {
-		return body
+	for i := range gjson.GetBytes(body, "choices.#").Int() {
+		stripped, err := sjson.DeleteBytes(body, "choices."+strconv.FormatInt(i, 10)+".logprobs")
+		if err != nil {
+			return body
+		}
+		body = stripped
 	}
-	return out
+	return body
 }
--- a/internal/route/chat/router.go
+++ b/internal/route/chat/router.go
@@ -153,6 +153,10 @@
 	usage    engine.Usage
 	// sent is how far any attempt came.
 	sent engine.Sent
+	// sampled is true if the answer is to be rated.
+	sampled bool
+	// confidence is true if engines are asked for log-probabilities.
+	confidence bool
 }
 
 func (u *run) note(sent engine.Sent) { u.sent = max(u.sent, sent) }
--- a/internal/route/chat/stream.go
+++ b/internal/route/chat/stream.go
@@ -76,7 +76,7 @@
 func (u *run) stream(ctx context.Context, w Answer) error {
 	version := u.choice.plan.First
 	sink := &chunkSink{w: w, run: u, version: version, usage: u.req.Chat.IncludeUsage}
-	if u.sampled(version) {
+	if u.rates(version) {
 		sink.sample = &strings.Builder{}
 	}
 	err := u.streamVersion(ctx, sink)
@@ -95,8 +95,8 @@
 	return w.Flush()
 }
 
-// sampled decides before the stream begins whether its answer is rated.
-func (u *run) sampled(version string) bool {
+// rates decides before the stream begins whether its answer is rated.
+func (u *run) rates(version string) bool {
 	return u.router.random() < u.req.Class.RateShare || u.version(version).State == template.RollingIn
 }
 
