decide: learn from an unbiased sample; judge each stage of a cascade apart

The change detector had stopped good serving versions: every answer that a cascade rejected was rated and only a tenth of those it kept, and a version that comes second sees only the requests that the first one failed, so a change of plan looked like a worse version.

--- a/internal/fleet/evidence/counts.go
+++ b/internal/fleet/evidence/counts.go
@@ -8,10 +8,21 @@
 )
 
 // Key names one trial of a version in a template.
+//
+// Answers to requests that a first version failed are counted apart (After), since such
+// requests are harder: a plan that sends more of them must not look like a worse version.
 type Key struct {
 	Template string
 	Version  string
 	Trial    int32
+	After    bool
+}
+
+// stages returns the keys of both kinds of answers.
+func (k Key) stages() [2]Key {
+	first, after := k, k
+	first.After, after.After = false, true
+	return [2]Key{first, after}
 }
 
 // Counts is what is counted for one key.
@@ -44,7 +55,7 @@
 // addRecord sums a published record; the unrated answers of a lost daemon will never be rated.
 func (t *totals) addRecord(rec *peerpb.EvidenceRecord, live bool) {
 	for _, v := range rec.GetVersions() {
-		k := Key{v.GetTemplate(), v.GetVersion(), v.GetTrial()}
+		k := Key{v.GetTemplate(), v.GetVersion(), v.GetTrial(), v.GetAfter()}
 		c := t.versions[k]
 		o := Counts{Started: v.GetStarted(), Good: v.GetRatedGood(), Poor: v.GetRatedPoor(), Unrated: v.GetUnrated()}
 		if !live {
@@ -67,12 +78,12 @@
 	rec := &peerpb.EvidenceRecord{Daemons: t.daemons}
 	for k, c := range t.versions {
 		rec.Versions = append(rec.Versions, &peerpb.VersionEvidence{
-			Template: k.Template, Version: k.Version, Trial: k.Trial,
+			Template: k.Template, Version: k.Version, Trial: k.Trial, After: k.After,
 			Started: c.Started, RatedGood: c.Good, RatedPoor: c.Poor, Unrated: c.Unrated,
 		})
 	}
 	slices.SortFunc(rec.Versions, func(a, b *peerpb.VersionEvidence) int {
-		return cmp.Or(cmp.Compare(a.GetTemplate(), b.GetTemplate()), cmp.Compare(a.GetVersion(), b.GetVersion()), cmp.Compare(a.GetTrial(), b.GetTrial()))
+		return cmp.Or(cmp.Compare(a.GetTemplate(), b.GetTemplate()), cmp.Compare(a.GetVersion(), b.GetVersion()), cmp.Compare(a.GetTrial(), b.GetTrial()), cmp.Compare(a.GetStarted(), b.GetStarted()))
 	})
 	for a, r := range t.demand {
 		rec.Demands = append(rec.Demands, &peerpb.AccountDemand{Account: a, Rate: r})
--- a/internal/fleet/evidence/service.go
+++ b/internal/fleet/evidence/service.go
@@ -139,9 +139,16 @@
 	rank := slices.IndexFunc(daemons, func(m member.Member) bool { return m.ID == s.self.ID })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := s.known(k)
+	var known rollout.Evidence
+	var unrated int64
+	for _, stage := range k.stages() {
+		e := s.known(stage)
+		known.Good += e.Good
+		known.Poor += e.Poor
+		unrated += s.own[stage].Unrated
+	}
 	allowance := rollout.Allowance(known, exposure)
-	return s.own[k].Unrated < int64(rollout.Share(allowance, len(daemons), rank))
+	return unrated < int64(rollout.Share(allowance, len(daemons), rank))
 }
 
 // known is the fleet's evidence, with this daemon's own newest counts if they are ahead; s.mu is held.
@@ -285,7 +292,7 @@
 	defer s.mu.Unlock()
 	versions := map[string]Counts{}
 	for k, c := range s.fleet.versions {
-		versions[fmt.Sprintf("%s/%s/%d", k.Template, k.Version, k.Trial)] = c
+		versions[fmt.Sprintf("%s/%s/%d/after=%t", k.Template, k.Version, k.Trial, k.After)] = c
 	}
 	var stops []string
 	for _, r := range s.gossip.Fleet().Prefix(stopPrefix) {
--- a/internal/route/chat/complete.go
+++ b/internal/route/chat/complete.go
@@ -35,7 +35,7 @@
 		return u.fallBack(ctx, err)
 	}
 	keep := p.Second == "" || first.Confidence >= p.Threshold && !u.choice.explore
-	u.learn(p.First, first, false, keep)
+	u.learn(p.First, first, false, u.choice.explore)
 	if keep {
 		return p.First, first, nil
 	}
@@ -44,7 +44,7 @@
 	if err != nil {
 		return u.settleForFirst(first, err)
 	}
-	u.learn(p.Second, second, !u.choice.explore, true)
+	u.learn(p.Second, second, !u.choice.explore, false)
 	return p.Second, second, nil
 }
 
@@ -69,7 +69,7 @@
 	if err2 != nil {
 		return "", nil, err2
 	}
-	u.learn(next, whole, false, true)
+	u.learn(next, whole, false, false)
 	return next, whole, nil
 }
 
@@ -102,14 +102,14 @@
 }
 
 // learn counts an answer and has it rated, if it is in the sample.
-func (u *run) learn(version string, whole *engine.Whole, after, shown bool) {
+func (u *run) learn(version string, whole *engine.Whole, after, unseen bool) {
 	r := u.router
 	v := u.version(version)
 	k := r.learned(u.req, version)
 	if whole.Confidence >= 0 {
 		r.learner.with(k, v.PriorQuality, func(e *cascade.Evidence) { e.Observe(whole.Confidence) })
 	}
-	u.rate(v, whole.Text, shown, func(good bool) {
+	u.rate(v, whole.Text, after, unseen, func(good bool) {
 		r.learner.with(k, v.PriorQuality, func(e *cascade.Evidence) {
 			if after {
 				e.RateAfter(good)
--- a/internal/route/chat/rate.go
+++ b/internal/route/chat/rate.go
@@ -9,24 +9,27 @@
 
 	"github.com/pollencourse/pollencourse/internal/config/template"
 	"github.com/pollencourse/pollencourse/internal/core/event"
+	"github.com/pollencourse/pollencourse/internal/fleet/evidence"
 )
 
 // rate has an answer rated if it is in the sample; fn gets the rating.
 //
-// Every shown answer of a rolling-in version is rated, since its exposure is counted in
-// unrated answers; answers that are not shown are rated because only that teaches anything.
-func (u *run) rate(v template.Version, answer string, shown bool, fn func(good bool)) {
+// The sample is drawn before the answer is known, so that what a cascade rejects weighs no
+// more than what it keeps. Every answer of a rolling-in version is rated, since its exposure
+// is counted in unrated answers, and every answer that was made only to learn (unseen).
+func (u *run) rate(v template.Version, answer string, after, unseen bool, fn func(good bool)) {
 	r := u.router
-	if v.State != template.RollingIn && shown && !u.sampled {
-		r.evidence.Start(keyOf(u.req.Policy, v), false)
+	k := keyOf(u.req.Policy, v)
+	k.After = after
+	if v.State != template.RollingIn && !u.sampled && !unseen {
+		r.evidence.Start(k, false)
 		return
 	}
-	r.submit(u.req, v, answer, fn)
+	r.submit(u.req, v, k, answer, fn)
 }
 
 // submit counts an answer as unrated and hands it to the rating service.
-func (r *Router) submit(req *Request, v template.Version, answer string, fn func(good bool)) {
-	k := keyOf(req.Policy, v)
+func (r *Router) submit(req *Request, v template.Version, k evidence.Key, answer string, fn func(good bool)) {
 	r.evidence.Start(k, true)
 	taken := r.ratings.Submit(req.Chat.Prompt, answer, func(good, ok bool) {
 		if !ok {
@@ -63,7 +66,7 @@
 }
 
 const (
-	ratingWorkers = 8
+	ratingWorkers = 64
 	maxRatings    = 2000
 	ratingTimeout = 30 * time.Second
 	// maxRatedBytes bounds what a waiting answer holds in memory.
