rollout: a poor rating burns its place; mix batches evenly

Cause: (1) a version of quality 0.30 that replaced one of 0.92 showed 20 bad answers before its stop, over the stated 1.5 log(1/alpha)/KL plus what was in flight (19.8): a poor rating freed its place at once, and the fleet's sum lags by a second or two. (2) The change detector stopped a good serving version within 2,000 ratings: it took the poor ratings of a batch last, in a row.

Ruled out: a smaller budget, which slows good versions as much.

Change: allowance = exposure + good/2 - poor; a poor rating holds its place here until the fleet's sum contains it; what this daemon counted since the last sum is added to it; batches are taken as evenly mixed.

--- a/internal/decide/rollout/change.go
+++ b/internal/decide/rollout/change.go
@@ -22,16 +22,23 @@
 	return c
 }
 
-// Add takes ratings in the order in which they came, poor ones of a batch last.
+// Add takes a batch of ratings whose order is not known.
+//
+// They are taken as evenly mixed: poor ones in a row, which the batch need not have had,
+// would raise the sum for nothing.
 func (c *Change) Add(good, poor int, baseline float64) {
 	p0 := clamp(1 - baseline)
+	n := good + poor
 	for i, d := range drops {
 		p1 := alternative(p0, d)
-		for range good {
-			c.logSums[i] = step(c.logSums[i], math.Log((1-p1)/(1-p0)))
-		}
-		for range poor {
-			c.logSums[i] = step(c.logSums[i], math.Log(p1/p0))
+		onGood, onPoor := math.Log((1-p1)/(1-p0)), math.Log(p1/p0)
+		for j := range n {
+			// The j-th rating is poor if the evenly spread count of poor ones steps up at it.
+			ratio := onGood
+			if (j+1)*poor/n > j*poor/n {
+				ratio = onPoor
+			}
+			c.logSums[i] = step(c.logSums[i], ratio)
 		}
 	}
 }
--- a/internal/decide/rollout/exposure.go
+++ b/internal/decide/rollout/exposure.go
@@ -15,9 +15,10 @@
 const growth = 0.5
 
 // Allowance returns how many unrated answers may be out over the fleet at a time.
+//
+// Good ratings widen it and each poor one takes its answer's place away for good.
 func Allowance(e Evidence, exposure int) float64 {
-	base := float64(exposure)
-	return base + math.Max(0, e.Good-2*e.Poor)*growth
+	return math.Max(0, float64(exposure)+growth*e.Good-e.Poor)
 }
 
 // Share returns this daemon's part of the allowance that is left.
--- a/internal/fleet/evidence/service.go
+++ b/internal/fleet/evidence/service.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -67,10 +68,13 @@
 	arrived map[string]int64
 	demand  map[string]float64
 	// fleet is the sum over all availability zones at the last round.
-	fleet   *totals
-	changes map[Key]*watched
-	sentOwn []byte
-	sentSum []byte
+	fleet *totals
+	// published and included are the own counts last published, and those that fleet contains.
+	published map[Key]Counts
+	included  map[Key]Counts
+	changes   map[Key]*watched
+	sentOwn   []byte
+	sentSum   []byte
 }
 
 // watched is a serving version's detector with the counts that it has taken.
@@ -140,25 +144,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var known rollout.Evidence
-	var unrated int64
+	var occupied int64
 	for _, stage := range k.stages() {
 		e := s.known(stage)
 		known.Good += e.Good
 		known.Poor += e.Poor
-		unrated += s.own[stage].Unrated
+		// Poor ratings keep their place until the fleet's sum takes them into account.
+		occupied += s.own[stage].Unrated + s.own[stage].Poor - s.included[stage].Poor
 	}
 	allowance := rollout.Allowance(known, exposure)
-	return unrated < int64(rollout.Share(allowance, len(daemons), rank))
+	return occupied < int64(rollout.Share(allowance, len(daemons), rank))
 }
 
-// known is the fleet's evidence, with this daemon's own newest counts if they are ahead; s.mu is held.
+// known is the fleet's evidence with what this daemon counted since; s.mu is held.
 func (s *Service) known(k Key) rollout.Evidence {
-	c, own := s.fleet.versions[k], s.own[k]
+	c, own, included := s.fleet.versions[k], s.own[k], s.included[k]
 	return rollout.Evidence{
-		Started: math.Max(float64(c.Started), float64(own.Started)),
-		Good:    math.Max(float64(c.Good), float64(own.Good)),
-		Poor:    math.Max(float64(c.Poor), float64(own.Poor)),
-		Unrated: math.Max(float64(c.Unrated), float64(own.Unrated)),
+		Started: float64(c.Started + own.Started - included.Started),
+		Good:    float64(c.Good + own.Good - included.Good),
+		Poor:    float64(c.Poor + own.Poor - included.Poor),
+		Unrated: float64(c.Unrated + own.Unrated - included.Unrated),
 	}
 }
 
@@ -229,6 +234,8 @@
 	s.mu.Lock()
 	t := newTotals()
 	t.daemons = 1
+	s.included = s.published
+	s.published = maps.Clone(s.own)
 	for k, c := range s.own {
 		t.versions[k] = c
 	}
