admission: start no request that can't be finished in time

Ruled out: the adaptive limits; the servers were kept busy.

Change: a request whose time left is below 1.5 times the expected service time leaves the queue as not run, and the refusal at arrival uses the same latest start.

--- a/internal/decide/admission/queue.go
+++ b/internal/decide/admission/queue.go
@@ -19,6 +19,14 @@
 	Service time.Duration
 }
 
+// serviceMargin is how many times the expected service time a request must have left to be started.
+const serviceMargin = 1.5
+
+// latestStart is when the request must be started to be finished in time.
+func (c Claim) latestStart() time.Time {
+	return c.Deadline.Add(-time.Duration(serviceMargin * float64(c.Service)))
+}
+
 // waiter is one waiting request.
 type waiter struct {
 	claim Claim
@@ -69,6 +77,8 @@
 // waitTurn waits to become the head, then for a change after which try succeeds.
 func (q *Queue) waitTurn(ctx context.Context, w *waiter, try func() bool, changed func() <-chan struct{}) error {
 	defer q.leave(w)
+	late := time.NewTimer(time.Until(w.claim.latestStart()))
+	defer late.Stop()
 	for {
 		var wake <-chan struct{} = w.ready
 		var again <-chan time.Time
@@ -82,6 +92,8 @@
 		select {
 		case <-wake:
 		case <-again:
+		case <-late.C:
+			return overloaded("too little time is left to start")
 		case <-ctx.Done():
 			return tooLate(ctx.Err())
 		}
@@ -102,7 +114,7 @@
 	if len(q.waiting) >= maxWaiting {
 		return nil, overloaded("the queue is full")
 	}
-	if wait, known := q.expectedWait(c); known && time.Now().Add(wait+c.Service).After(c.Deadline) {
+	if wait, known := q.expectedWait(c); known && time.Now().Add(wait).After(c.latestStart()) {
 		return nil, overloaded("the expected wait of " + wait.Round(time.Millisecond).String() + " exceeds the deadline")
 	}
 	w := &waiter{claim: c, start: max(q.virtual, q.finish[c.Account]), ready: make(chan struct{}, 1)}
