--- a/internal/config/template/decode.go
+++ b/internal/config/template/decode.go
@@ -8,12 +8,15 @@
 )
 
 const (
-	maxPrice       = 1e9
-	maxRate        = 1e6
-	maxExposure    = 1_000_000
-	maxPriority    = 9
-	defaultLatency = 30 * time.Second
-	longestWait    = time.Hour
+	maxPrice    = 1e9
+	maxRate     = 1e6
+	maxExposure = 1_000_000
+	// A weight above 4 would let the poor answers of a good version use up its exposure.
+	minExposureWeight = 0.25
+	maxExposureWeight = 4
+	maxPriority       = 9
+	defaultLatency    = 30 * time.Second
+	longestWait       = time.Hour
 )
 
 // decodePolicy reads everything but the account's own sections.
@@ -36,9 +39,8 @@
 func decodeHead(d *inifile.Decoder, p *Policy) {
 	s := d.Only("template")
 	p.Weights = Weights{
-		Cost:     d.Float(s, "costWeight", 1, 0, 100),
-		Latency:  d.Float(s, "latencyWeight", 1, 0, 100),
-		Exposure: d.Float(s, "exposureWeight", 1, 0, 100),
+		LatencyCost: d.Float(s, "latencyCost", 0, 0, maxPrice),
+		Exposure:    d.Float(s, "exposureWeight", 1, minExposureWeight, maxExposureWeight),
 	}
 	p.RequestsPerSecond = d.Float(s, "requestsPerSecond", 0, 0, maxRate)
 	p.FairWeight = d.Float(s, "fairWeight", 1, 0.001, 1000)
--- a/internal/config/template/policy.go
+++ b/internal/config/template/policy.go
@@ -58,10 +58,11 @@
 	Cost float64
 }
 
-// Weights says which of the brief's measures matters most to an account.
+// Weights says how much the brief's measures matter to an account, besides cost itself.
 type Weights struct {
-	Cost     float64
-	Latency  float64
+	// LatencyCost is what a second of an answer's latency is worth, in micro-units.
+	LatencyCost float64
+	// Exposure above 1 widens roll-outs more slowly and stops versions on less evidence.
 	Exposure float64
 }
 
--- a/internal/core/fault/error.go
+++ b/internal/core/fault/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -38,10 +39,14 @@
 	if e.Cause != nil {
 		s += ": " + e.Cause.Error()
 	}
-	if e.Remedy != "" {
-		s += " (" + e.Remedy + ")"
+	switch {
+	case e.Remedy == "":
+		return s
+	case strings.Contains(s, "\n"):
+		return s + "\n" + e.Remedy
+	default:
+		return s + " (" + e.Remedy + ")"
 	}
-	return s
 }
 
 // Unwrap returns the underlying error.
--- a/internal/core/inifile/file.go
+++ b/internal/core/inifile/file.go
@@ -37,7 +37,8 @@
 	parsed, err := ini.LoadSources(opts, data)
 	if err != nil {
 		var list fault.List
-		list.Add(fault.Pos{File: name, Line: 1, Column: 1}, syntaxRemedy, "%v", err)
+		message := strings.TrimSpace(err.Error())
+		list.Add(syntaxPos(name, string(data), message), syntaxRemedy, "%s", message)
 		return nil, list.Err()
 	}
 	lines := scan(name, string(data))
@@ -51,6 +52,17 @@
 	return f, lines.duplicates()
 }
 
+// syntaxPos finds the line that a syntax error quotes; without one it is the first line.
+func syntaxPos(name, text, message string) fault.Pos {
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if line != "" && strings.HasSuffix(message, line) {
+			return fault.Pos{File: name, Line: i + 1, Column: 1}
+		}
+	}
+	return fault.Pos{File: name, Line: 1, Column: 1}
+}
+
 func convert(file string, s *ini.Section, lines *lineIndex) Section {
 	kind, rest, _ := strings.Cut(s.Name(), " ")
 	pos := lines.take(s.Name(), "")
--- a/internal/decide/cascade/plan.go
+++ b/internal/decide/cascade/plan.go
@@ -22,7 +22,7 @@
 	Second string
 	// Threshold is the lowest confidence at which the first answer is kept.
 	Threshold float64
-	// Cost is the expected cost, in micro-units.
+	// Cost is the expected cost with what the expected latency is worth, in micro-units.
 	Cost float64
 	// Quality is the lower confidence bound of the quality.
 	Quality float64
@@ -51,6 +51,8 @@
 	TimeLeft time.Duration
 	// Z is the number of standard deviations of the lower bound.
 	Z float64
+	// SecondCost is what a second of latency is worth, in micro-units.
+	SecondCost float64
 	// Direct forbids cascades, as for streams.
 	Direct bool
 }
@@ -114,7 +116,7 @@
 	var plans []Plan
 	for _, c := range candidates {
 		if fits(c.Latency, goal.TimeLeft) {
-			plans = append(plans, Plan{First: c.ID, Cost: c.Cost, Quality: c.Evidence.direct().lower(goal.Z)})
+			plans = append(plans, Plan{First: c.ID, Cost: goal.worth(c), Quality: c.Evidence.direct().lower(goal.Z)})
 		}
 	}
 	if len(plans) == 0 {
@@ -144,9 +146,12 @@
 			best = c
 		}
 	}
-	return []Plan{{First: best.ID, Cost: best.Cost, Quality: best.Evidence.direct().lower(goal.Z)}}
+	return []Plan{{First: best.ID, Cost: goal.worth(best), Quality: best.Evidence.direct().lower(goal.Z)}}
 }
 
+// worth is a version's cost with what its latency is worth.
+func (g Goal) worth(c Candidate) float64 { return c.Cost + g.SecondCost*c.Latency.Seconds() }
+
 func fits(d, left time.Duration) bool { return left == 0 || d <= left }
 
 func cascades(a, b Candidate, goal Goal) []Plan {
@@ -164,7 +169,7 @@
 		}
 		plans = append(plans, Plan{
 			First: a.ID, Second: b.ID, Threshold: float64(first) / BinCount,
-			Cost: a.Cost + rest*b.Cost, Quality: all.lower(goal.Z),
+			Cost: goal.worth(a) + rest*goal.worth(b), Quality: all.lower(goal.Z),
 		})
 	}
 	return plans
--- a/internal/decide/rollout/evidence.go
+++ b/internal/decide/rollout/evidence.go
@@ -42,8 +42,10 @@
 }
 
 // Worse reports whether the counts show that a version is worse than its baseline.
-func Worse(good, poor, baseline float64) bool {
-	return LogEvidence(good, poor, baseline) >= math.Log(1/Alpha)
+//
+// A weight of exposure above 1 asks for less evidence: the error is Alpha times the weight.
+func Worse(good, poor, baseline, weight float64) bool {
+	return LogEvidence(good, poor, baseline) >= math.Log(1/(Alpha*weight))
 }
 
 // KL is the divergence between two rates of poor answers, in nats a rating.
--- a/internal/decide/rollout/exposure.go
+++ b/internal/decide/rollout/exposure.go
@@ -16,9 +16,10 @@
 
 // Allowance returns how many unrated answers may be out over the fleet at a time.
 //
-// Good ratings widen it and each poor one takes its answer's place away for good.
-func Allowance(e Evidence, exposure int) float64 {
-	return math.Max(0, float64(exposure)+growth*e.Good-e.Poor)
+// Good ratings widen it, the less the more exposure weighs, and each poor one takes its
+// answer's place away for good.
+func Allowance(e Evidence, exposure int, weight float64) float64 {
+	return math.Max(0, float64(exposure)+growth/weight*e.Good-e.Poor)
 }
 
 // Share returns this daemon's part of the allowance that is left.
--- a/internal/fleet/evidence/judge.go
+++ b/internal/fleet/evidence/judge.go
@@ -49,6 +49,15 @@
 	return nil
 }
 
+// exposureWeight is the highest weight that any account of a template gives to exposure.
+func exposureWeight(t *template.Template) float64 {
+	weight := 0.0
+	for _, p := range t.Accounts {
+		weight = max(weight, p.Weights.Exposure)
+	}
+	return weight
+}
+
 func (s *Service) judgeVersion(t *template.Template, v template.Version) {
 	k := Key{Template: t.Name, Version: v.ID, Trial: int32(v.Trial)}
 	if s.Stopped(k) {
@@ -57,13 +66,30 @@
 	for _, stage := range k.stages() {
 		s.judgeStage(t, v, stage)
 	}
+	if v.State == template.RollingIn && s.spent(k, v.Exposure, exposureWeight(t)) {
+		s.stop(k, "its exposure is spent", s.Fleet(k))
+	}
+}
+
+// spent reports whether poor answers have used up a version's exposure, so that no more answers will judge it.
+func (s *Service) spent(k Key, exposure int, weight float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var sum rollout.Evidence
+	for _, stage := range k.stages() {
+		e := s.known(stage)
+		sum.Good += e.Good
+		sum.Poor += e.Poor
+		sum.Unrated += e.Unrated
+	}
+	return sum.Unrated == 0 && rollout.Allowance(sum, exposure, weight) < 1
 }
 
 func (s *Service) judgeStage(t *template.Template, v template.Version, k Key) {
 	switch v.State {
 	case template.RollingIn:
 		e := s.Fleet(k)
-		if baseline, ok := s.baseline(t, v, k.After); ok && rollout.Worse(e.Good, e.Poor, baseline) {
+		if baseline, ok := s.baseline(t, v, k.After); ok && rollout.Worse(e.Good, e.Poor, baseline, exposureWeight(t)) {
 			s.stop(k, "worse than its baseline", e)
 		}
 	case template.Serving:
--- a/internal/fleet/evidence/service.go
+++ b/internal/fleet/evidence/service.go
@@ -138,7 +138,7 @@
 }
 
 // Allows reports whether one more unrated answer of a rolling-in version may go out here.
-func (s *Service) Allows(k Key, exposure int) bool {
+func (s *Service) Allows(k Key, exposure int, weight float64) bool {
 	daemons := s.members.Members()
 	rank := slices.IndexFunc(daemons, func(m member.Member) bool { return m.ID == s.self.ID })
 	s.mu.Lock()
@@ -152,7 +152,7 @@
 		// Poor ratings keep their place until the fleet's sum takes them into account.
 		occupied += s.own[stage].Unrated + s.own[stage].Poor - s.included[stage].Poor
 	}
-	allowance := rollout.Allowance(known, exposure)
+	allowance := rollout.Allowance(known, exposure, weight)
 	return occupied < int64(rollout.Share(allowance, len(daemons), rank))
 }
 
--- a/internal/proof/decisions/drive_test.go
+++ b/internal/proof/decisions/drive_test.go
@@ -150,7 +150,7 @@
 // policyFor is a template that serves the models.
 func policyFor(target float64, models ...model) *template.Policy {
 	p := &template.Policy{
-		Template: "quotes", Account: "karamu", Weights: template.Weights{Cost: 1, Latency: 1, Exposure: 1}, FairWeight: 1,
+		Template: "quotes", Account: "karamu", Weights: template.Weights{Exposure: 1}, FairWeight: 1,
 		Classes: map[string]template.Class{"default": {
 			Name: "default", QualityTarget: target, SettleTarget: target, Deadline: 5 * time.Second, Priority: 5, RateShare: 0.1,
 		}},
--- a/internal/proof/decisions/exposure_test.go
+++ b/internal/proof/decisions/exposure_test.go
@@ -33,8 +33,8 @@
 	settled    time.Duration
 }
 
-func rollingPolicy() *policies {
-	p := &template.Policy{Template: "quotes", Account: "kppd", Versions: []template.Version{
+func rollingPolicy(weight float64) *policies {
+	p := &template.Policy{Weights: template.Weights{Exposure: weight}, Template: "quotes", Account: "kppd", Versions: []template.Version{
 		{ID: "old@1", Model: "old", State: template.Serving, Trial: 1, PriorQuality: oldQuality},
 		{ID: "new@2", Model: "new", State: template.RollingIn, Trial: 1, PriorQuality: oldQuality, Replaces: "old@1", Exposure: exposureBudget, Share: 0.5},
 	}}
@@ -47,11 +47,11 @@
 )
 
 // rollOut runs the evidence of a fleet while a version of some quality rolls in.
-func rollOut(t *testing.T, seed uint64, quality float64, during time.Duration) trial {
+func rollOut(t *testing.T, seed uint64, quality, weight float64, during time.Duration) trial {
 	var out trial
 	bubble(t, func(ctx context.Context) {
 		rng := rand.New(rand.NewPCG(seed, 3))
-		p, f := rollingPolicy(), newFleet(exposureDaemons)
+		p, f := rollingPolicy(weight), newFleet(exposureDaemons)
 		var services []*evidence.Service
 		for rank := range exposureDaemons {
 			s := evidence.New(f.members[rank].Node, seat{f, rank}, seat{f, rank}, p, time.Second, event.Discard())
@@ -70,7 +70,7 @@
 		for time.Since(began) < during {
 			time.Sleep(time.Duration(rng.ExpFloat64() / exposureRate * float64(time.Second)))
 			s := services[rng.IntN(exposureDaemons)]
-			usesNew := !s.Stopped(newKey) && rng.Float64() < 0.5 && s.Allows(newKey, exposureBudget)
+			usesNew := !s.Stopped(newKey) && rng.Float64() < 0.5 && s.Allows(newKey, exposureBudget, weight)
 			recent += 0.01 * (boolTo(usesNew) - recent)
 			if !usesNew {
 				continue
@@ -104,7 +104,7 @@
 	for _, quality := range []float64{0.30, 0.50, 0.70} {
 		var bad []float64
 		for seed := range uint64(15) {
-			r := rollOut(t, seed, quality, 4*time.Minute)
+			r := rollOut(t, seed, quality, 1, 4*time.Minute)
 			require.True(t, r.stopped, "seed %d", seed)
 			bad = append(bad, float64(r.bad))
 		}
@@ -136,7 +136,7 @@
 	stopped := 0
 	var shares []float64
 	for seed := range uint64(runs) {
-		r := rollOut(t, 1000+seed, oldQuality, 2*time.Minute)
+		r := rollOut(t, 1000+seed, oldQuality, 1, 2*time.Minute)
 		if r.stopped {
 			stopped++
 		}
@@ -165,7 +165,7 @@
 	ratings, early := 0, false
 	bubble(t, func(ctx context.Context) {
 		rng := rand.New(rand.NewPCG(seed, 4))
-		p, f := rollingPolicy(), newFleet(1)
+		p, f := rollingPolicy(1), newFleet(1)
 		s := evidence.New(f.members[0].Node, seat{f, 0}, seat{f, 0}, p, time.Second, event.Discard())
 		go func() { _ = s.Run(ctx) }()
 		rate := func(quality float64) {
@@ -185,3 +185,19 @@
 	require.False(t, early, "seed %d: stopped while it was good", seed)
 	return ratings
 }
+
+// TestTheWeightOfExposureTradesSpeedForBadAnswers compares a weight as of Karamu with one as of KPPD.
+func TestTheWeightOfExposureTradesSpeedForBadAnswers(t *testing.T) {
+	var bad [2]float64
+	for i, weight := range []float64{1, 3} {
+		var all []float64
+		for seed := range uint64(15) {
+			r := rollOut(t, seed, 0.6, weight, 4*time.Minute)
+			require.True(t, r.stopped)
+			all = append(all, float64(r.bad))
+		}
+		bad[i] = middle(all)
+		measured(fmt.Sprintf("exposure.bad.weight=%g", weight), bad[i], "answers", "-")
+	}
+	require.LessOrEqual(t, bad[1], bad[0])
+}
--- a/internal/proof/decisions/share_test.go
+++ b/internal/proof/decisions/share_test.go
@@ -40,7 +40,7 @@
 		var services []*evidence.Service
 		var buckets []*rate.Limiter
 		for rank := range daemons {
-			s := evidence.New(f.members[rank].Node, seat{f, rank}, seat{f, rank}, rollingPolicy(), time.Second, event.Discard())
+			s := evidence.New(f.members[rank].Node, seat{f, rank}, seat{f, rank}, rollingPolicy(1), time.Second, event.Discard())
 			services = append(services, s)
 			buckets = append(buckets, rate.NewLimiter(rate.Limit(limit/float64(daemons)), int(limit)/daemons))
 			go func() { _ = s.Run(ctx) }()
--- a/internal/route/chat/choose.go
+++ b/internal/route/chat/choose.go
@@ -60,7 +60,7 @@
 }
 
 func (r *Router) goal(req *Request, settles bool) cascade.Goal {
-	g := cascade.Goal{Quality: req.Class.QualityTarget, TimeLeft: time.Until(req.Deadline), Z: confidence, Direct: req.Chat.Stream}
+	g := cascade.Goal{Quality: req.Class.QualityTarget, TimeLeft: time.Until(req.Deadline), Z: confidence, Direct: req.Chat.Stream, SecondCost: req.Policy.Weights.LatencyCost}
 	if settles {
 		g.Quality = req.Class.SettleTarget
 	}
@@ -157,7 +157,7 @@
 
 // mayRollIn reports whether one more unrated answer of a version may go out.
 func (r *Router) mayRollIn(req *Request, v template.Version) bool {
-	return !r.stale() && r.evidence.Allows(keyOf(req.Policy, v), v.Exposure)
+	return !r.stale() && r.evidence.Allows(keyOf(req.Policy, v), v.Exposure, req.Policy.Weights.Exposure)
 }
 
 // place puts a rolling-in version where the one it replaces stands.
--- a/internal/route/chat/router.go
+++ b/internal/route/chat/router.go
@@ -42,7 +42,7 @@
 	Start(k evidence.Key, rated bool)
 	Rated(k evidence.Key, good bool)
 	Unrated(k evidence.Key)
-	Allows(k evidence.Key, exposure int) bool
+	Allows(k evidence.Key, exposure int, weight float64) bool
 	Stopped(k evidence.Key) bool
 }
 
