--- a/internal/proof/decisions/fakes_test.go
+++ b/internal/proof/decisions/fakes_test.go
@@ -285,8 +285,3 @@
 	t.Apply(relay.Record{Key: key, Version: old.Version + 1, Body: body})
 	return nil
 }
-
-// measured prints one figure in the form that scripts/measure collects.
-func measured(name string, value float64, unit, baseline string) {
-	fmt.Printf("measure %s %.4g %s baseline=%s\n", name, value, unit, baseline)
-}
--- a/internal/proof/processes/capacity_bench_test.go
+++ b/internal/proof/processes/capacity_bench_test.go
@@ -16,8 +16,16 @@
 	"github.com/pollencourse/pollencourse/internal/standin/world"
 )
 
-// fleetSizes are the numbers of daemons at which slopes are measured.
-var fleetSizes = []int{3, 7, 15, 30}
+// The letter's fleet has 13 availability zones of 38 or 39 daemons. A daemon's links are those
+// within its zone and, for the first ones, to the other zones, so that one zone of 39 and 13
+// zones of few daemons measure both at their full size.
+var (
+	zoneSizes  = []int{3, 7, 15, 39}
+	zoneCounts = []int{2, 4, 8, 13}
+)
+
+// daemonsPerZone is the size of each zone when their number varies.
+const daemonsPerZone = 2
 
 // quietTime is how long a fleet without requests is watched.
 const quietTime = 10 * time.Second
@@ -47,12 +55,13 @@
 	return out
 }
 
-// capacityPlaces spreads daemons over the letter's proportions as far as they go: 4 regions, 13 zones.
-func capacityPlaces(n int) []place {
+// capacityPlaces has zones of a size, in 4 regions.
+func capacityPlaces(zones, perZone int) []place {
 	var out []place
-	for i := range n {
-		zone := i % 13 % max(1, min(13, n/2))
-		out = append(out, place{fmt.Sprintf("region-%d", zone%4), fmt.Sprintf("zone-%d", zone)})
+	for zone := range zones {
+		for range perZone {
+			out = append(out, place{fmt.Sprintf("region-%d", zone%4), fmt.Sprintf("zone-%d", zone)})
+		}
 	}
 	return out
 }
@@ -113,38 +122,96 @@
 	return 0
 }
 
-// BenchmarkFleetSize measures control at several numbers of daemons, quiet and during edits.
+// BenchmarkFleetSize measures control at several sizes of a zone and numbers of zones, with light traffic.
 func BenchmarkFleetSize(b *testing.B) {
-	var sizes, bytesOut, cores, memory, calls []float64
-	for _, n := range fleetSizes {
-		c := start(b, options{layout: smallLayout(pwaniA), places: capacityPlaces(n), direct: true, production: true})
-		applied := c.mustPut("quotes", quotesTemplate(), 0)
-		cost := c.observe()
-		at := fmt.Sprintf("daemons=%d", n)
-		measured("fleet.bytes."+at, cost.bytesPerSecond, "B/s/daemon", "13000")
-		measured("fleet.bytesHeaviest."+at, cost.heaviestBytesOut, "B/s", "13000")
-		measured("fleet.calls."+at, cost.callsPerSecond, "calls/s/daemon", "-")
-		measured("fleet.core."+at, 100*cost.coreShare, "%", "1.3")
-		measured("fleet.memory."+at, cost.residentBytes/(1<<20), "MB", "256")
-		measured("fleet.storeCalls."+at, cost.storeCalls, "calls/s", "2000")
-		measured("fleet.watches."+at, cost.watches, "watches", "-")
-		perEdit, inForce := c.editCost(applied.Revision)
-		measured("fleet.editBytes."+at, perEdit, "B/edit/daemon", "-")
-		measured("fleet.inForce."+at, inForce, "ms", "16000")
-		sizes, bytesOut = append(sizes, float64(n)), append(bytesOut, cost.bytesPerSecond)
-		cores, memory, calls = append(cores, 100*cost.coreShare), append(memory, cost.residentBytes/(1<<20)), append(calls, cost.storeCalls)
-		c.stop()
+	var size, number series
+	for _, n := range zoneSizes {
+		size.add(float64(n), observeFleet(b, fmt.Sprintf("zoneSize=%d", n), capacityPlaces(1, n)))
+	}
+	size.slopes("zoneSize")
+	for _, n := range zoneCounts {
+		number.add(float64(n), observeFleet(b, fmt.Sprintf("zones=%d", n), capacityPlaces(n, daemonsPerZone)))
+	}
+	number.slopes("zones")
+}
+
+// series is the cost at several sizes.
+type series struct {
+	x     []float64
+	costs []controlCost
+}
+
+func (s *series) add(x float64, c controlCost) {
+	s.x = append(s.x, x)
+	s.costs = append(s.costs, c)
+}
+
+func (s *series) slopes(of string) {
+	column := func(f func(controlCost) float64) []float64 {
+		var out []float64
+		for _, c := range s.costs {
+			out = append(out, f(c))
+		}
+		return out
 	}
-	slope("fleet.bytes", sizes, bytesOut, "B/s")
-	slope("fleet.core", sizes, cores, "%")
-	slope("fleet.memory", sizes, memory, "MB")
-	slope("fleet.storeCalls", sizes, calls, "calls/s")
+	slope(of+".bytes", s.x, column(func(c controlCost) float64 { return c.bytesPerSecond }), "B/s")
+	slope(of+".bytesHeaviest", s.x, column(func(c controlCost) float64 { return c.heaviestBytesOut }), "B/s")
+	slope(of+".core", s.x, column(func(c controlCost) float64 { return 100 * c.coreShare }), "%")
+	slope(of+".memory", s.x, column(func(c controlCost) float64 { return c.residentBytes / (1 << 20) }), "MB")
+	slope(of+".storeCalls", s.x, column(func(c controlCost) float64 { return c.storeCalls }), "calls/s")
+}
+
+// observeFleet starts a fleet, watches it under light traffic and during edits, and ends it.
+func observeFleet(b *testing.B, at string, places []place) controlCost {
+	c := start(b, options{layout: fastLayout(5), places: places, direct: true, production: true})
+	defer c.stop()
+	applied := c.mustPut("quotes", bothServing(), 0)
+	stop := make(chan struct{})
+	done := c.trickle(stop)
+	cost := c.observe()
+	close(stop)
+	<-done
+	measured("control.bytes."+at, cost.bytesPerSecond, "B/s/daemon", "13000")
+	measured("control.bytesHeaviest."+at, cost.heaviestBytesOut, "B/s", "13000")
+	measured("control.calls."+at, cost.callsPerSecond, "calls/s/daemon", "-")
+	measured("control.core."+at, 100*cost.coreShare, "%", "1.3")
+	measured("control.memory."+at, cost.residentBytes/(1<<20), "MB", "256")
+	measured("control.storeCalls."+at, cost.storeCalls, "calls/s", "2000")
+	measured("control.watches."+at, cost.watches, "watches", "-")
+	perEdit, inForce := c.editCost(applied.Revision)
+	measured("control.editBytes."+at, perEdit, "B/edit/daemon", "-")
+	measured("control.inForce."+at, inForce, "ms", "16000")
+	return cost
+}
+
+// trickleInterval is how often each daemon gets a request, so that counts change and are published.
+const trickleInterval = time.Second
+
+// trickle sends each daemon a request now and then until stop is closed.
+func (c *cluster) trickle(stop <-chan struct{}) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(trickleInterval)
+		defer ticker.Stop()
+		for i := 0; ; i++ {
+			for n, d := range c.daemons {
+				c.ask(d, fmt.Sprintf("trickle-%d-%d", i, n), false)
+			}
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+	return done
 }
 
 // slope prints the line through the measured points.
 func slope(name string, x, y []float64, unit string) {
 	at0, each := stat.LinearRegression(x, y, nil, false)
-	measured(name+".slope", each, unit+"/daemon", "-")
+	measured(name+".slope", each, unit+"/step", "-")
 	measured(name+".base", at0, unit, "-")
 }
 
@@ -155,14 +222,12 @@
 	for i, d := range c.daemons {
 		before[i] = c.peerDump(d).Peers.BytesOut
 	}
-	began := time.Now()
 	worst := int64(0)
 	for i := range edits {
 		out := c.mustPut("quotes", edit(i), base)
 		base = out.Revision
 		worst = max(worst, out.Milliseconds)
 	}
-	_ = began
 	total := 0.0
 	for i, d := range c.daemons {
 		total += float64(c.peerDump(d).Peers.BytesOut - before[i])
@@ -176,7 +241,6 @@
 	var sizes, memory, tableBytes []float64
 	n := 0
 	for _, size := range []int{100, 500, 1000, 2100} {
-		began := time.Now()
 		for ; n < size; n++ {
 			c.setVM(vmlist.VM{
 				ID: fmt.Sprintf("engine-%05d", n), Kind: vmlist.Engine, Region: fmt.Sprintf("region-%d", n%4),
@@ -192,7 +256,6 @@
 		at := fmt.Sprintf("servers=%d", size)
 		measured("vms.tableBytes."+at, float64(bytes), "B", "-")
 		measured("vms.memory."+at, c.daemons[1].resident(b)/(1<<20), "MB", "256")
-		_ = began
 		sizes, tableBytes = append(sizes, float64(size)), append(tableBytes, float64(bytes))
 		memory = append(memory, c.daemons[1].resident(b)/(1<<20))
 	}
--- a/internal/proof/processes/changes_test.go
+++ b/internal/proof/processes/changes_test.go
@@ -60,7 +60,8 @@
 			}
 		}
 	}
-	t.Logf("%d runs of the withdrawn version; last one %s after acceptance, in force everywhere after %s", total, last.Sub(accepted), inForce.Sub(accepted))
+	measured("withdrawn.lastNewRun", last.Sub(accepted).Seconds()*1000, "ms-after-acceptance", "2000")
+	measured("withdrawn.inForce", inForce.Sub(accepted).Seconds()*1000, "ms", "2000")
 	require.Positive(t, total)
 	require.False(t, last.After(inForce), "a run began %s after it was in force everywhere", last.Sub(inForce))
 }
@@ -118,7 +119,7 @@
 	var runs []engine.Run
 	require.NoError(t, c.getJSON("http://"+c.world.Engines["engine-1"]+"/control/runs", &runs))
 	last := slices.MaxFunc(runs, func(a, b engine.Run) int { return a.At.Compare(b.At) })
-	t.Logf("%d runs; last new one %s after the mark", len(runs), last.At.Sub(marked))
+	measured("leaving.lastNewRun", last.At.Sub(marked).Seconds()*1000, "ms-after-mark", "3000")
 	require.Less(t, last.At.Sub(marked), leavingTarget)
 }
 
@@ -176,7 +177,7 @@
 			t.Logf("%s: %d %s", id, replies[0].status, replies[0].body)
 		}
 	}
-	t.Logf("%d requests, %d cut, %d restarts", len(y.replies), cut, len(c.daemons))
+	measured("rolling.cut", float64(cut), fmt.Sprintf("of-%d-requests-over-%d-restarts", len(y.replies), len(c.daemons)), "0")
 	require.Zero(t, cut)
 	c.requireChargedOnce(y, 10*time.Second)
 }
--- a/internal/proof/processes/charges_test.go
+++ b/internal/proof/processes/charges_test.go
@@ -80,7 +80,8 @@
 			answered++
 		}
 	}
-	c.t.Logf("%d request IDs, %d whole answers, %d charges, %d merged", len(y.replies), answered, len(got.Charges), got.Merged)
+	measured("charges.lost."+c.t.Name(), 0, fmt.Sprintf("of-%d-whole-answers", answered), "0")
+	measured("charges.doubled."+c.t.Name(), 0, fmt.Sprintf("of-%d-charges-%d-merged", len(got.Charges), got.Merged), "0")
 }
 
 func TestChargesAreNeitherLostNorDoubledOverKillsAndPauses(t *testing.T) {
--- a/internal/proof/processes/config_test.go
+++ b/internal/proof/processes/config_test.go
@@ -50,7 +50,9 @@
 		times = append(times, time.Duration(out.Milliseconds)*time.Millisecond)
 	}
 	slices.Sort(times)
-	t.Logf("apply returned after: median %s, worst %s", times[edits/2], times[edits-1])
+	measured("config.inForce.median", float64(times[edits/2].Milliseconds()), "ms", "2000")
+	measured("config.inForce.worst", float64(times[edits-1].Milliseconds()), "ms", "2000")
+	require.Less(t, times[edits-1], inForceTarget)
 }
 
 // firstOf returns a daemon of a place other than not.
--- a/internal/proof/processes/once_test.go
+++ b/internal/proof/processes/once_test.go
@@ -55,7 +55,7 @@
 		counts["ids"]++
 		counts["runs"] += n
 	}
-	c.t.Logf("%d request IDs, %d executions, %d whole answers, %d IDs only refused as not run", counts["ids"], counts["runs"], counts["whole"], counts["notRun"])
+	measured("bookings.ranTwice."+c.t.Name(), 0, fmt.Sprintf("of-%d-IDs-%d-executions-%d-refused-as-not-run", counts["ids"], counts["runs"], counts["notRun"]), "0")
 }
 
 // bookUntilKnown repeats a booking with its ID at one daemon after another until the outcome is known.
