member: the older of two processes with one ID stops

Cause: an older process met its replacement's record under its own ID and published its own above it, so that the two took turns.

Change: a record of a newer incarnation under a daemon's own ID stops the daemon, which publishes nothing more; services of a daemon find each other by name through the kernel; the demo reports the quality shown.

Conclusion: a frozen VM that wakes after its replacement does no harm.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -100,118 +100,119 @@
 	return d
 }
 
-// parts are the services that others are built on.
-type parts struct {
-	store   *store.Client
-	hub     *peer.Hub
-	gossip  *relay.Gossip
-	members *member.Service
-	inForce *distribute.InForce
-	watcher *distribute.Watcher
-	acks    *distribute.Acks
-	ledger  *charge.Ledger
-	intents *intent.Service
-	proof   *evidence.Service
+// Names by which services find each other.
+const (
+	storeName    = "store"
+	peersName    = "peers"
+	relayName    = "relay"
+	membersName  = "members"
+	inForceName  = "configuration"
+	watcherName  = "watcher"
+	acksName     = "acknowledgements"
+	chargesName  = "charges"
+	intentsName  = "intents"
+	evidenceName = "evidence"
+	serversName  = "servers"
+	ratingsName  = "ratings"
+	chatName     = "chat"
+	servicesName = "services"
+	enginesName  = "engines"
+)
+
+// find looks a service up by name; that it is there is a matter of the order of build.
+func find[T any](d *Daemon, name string) T {
+	t, err := kernel.Lookup[T](d.kernel, name)
+	if err != nil {
+		panic(err)
+	}
+	return t
 }
 
+// build registers the services, each after those that it relies on.
 func (d *Daemon) build(ls Listeners) {
-	var p parts
-	d.buildFleet(&p, ls)
-	d.buildConfig(&p)
-	d.buildState(&p)
-	chatRouter, serviceRouter := d.buildRoutes(&p)
-	metrics := newMetrics(d.cfg.Daemon.ID)
-	ready := func() bool { return len(p.inForce.Templates()) > 0 }
-	d.kernel.Add("ready", &readiness{ready: ready, inForce: p.inForce, members: p.members, log: d.log})
-	d.kernel.Add("operator", operator.New(operator.Config{
-		Listener: ls.Operator, Key: d.cfg.Daemon.OperatorKey, Editor: distribute.NewEditor(p.store, p.gossip),
-		InForce: p.inForce, Acks: p.acks, Members: p.members, Intents: p.intents,
-		Bill: func(ctx context.Context) (charge.Bill, error) { return charge.Read(ctx, p.store) },
-		Dump: d.kernel.Dump, Metrics: metrics.handler, Ready: ready, Version: Version,
-	}))
-	d.kernel.Add("caller", caller.New(caller.Config{
-		Region: d.cfg.Daemon.Region, Zone: d.cfg.Daemon.AvailabilityZone, Listener: ls.Caller,
-		Limits: d.cfg.Limits, EntriesLifetime: d.cfg.Fleet.EntriesLifetime, Policies: p.inForce.Policies,
-		Chat: chatRouter, Services: serviceRouter, Sessions: session.New(d.cfg.Session.Keys, d.cfg.Session.Lifetime),
-		Demand: p.proof, Entries: p.members, Membership: p.members, Accepts: p.ledger.Accepts,
-		Ready: ready, Metrics: metrics.scope, Log: d.log,
-	}))
+	d.buildFleet(ls)
+	d.buildConfig()
+	d.buildState()
+	d.buildRoutes()
+	d.buildEdges(ls)
 }
 
-func (d *Daemon) buildFleet(p *parts, ls Listeners) {
+func (d *Daemon) buildFleet(ls Listeners) {
 	c := d.cfg
 	self := peer.Node{
 		ID: c.Daemon.ID, Incarnation: time.Now().UnixNano(), Region: c.Daemon.Region,
 		AvailabilityZone: c.Daemon.AvailabilityZone, PeerAddress: cmp.Or(c.Daemon.PeerAdvertised, ls.Peer.Addr().String()),
 	}
-	p.store = store.New(c.Platform.Store, c.Platform.StoreTimeout, c.Platform.StoreCallRate, d.log)
-	p.hub = peer.New(self, c.Session.Keys, ls.Peer, dialFrom(ls.Peer.Addr()), d.log, d.supersede)
-	p.gossip = relay.New(p.hub, c.Fleet.HeartbeatInterval)
+	hub := peer.New(self, c.Session.Keys, ls.Peer, dialFrom(ls.Peer.Addr()), d.log, d.supersede)
+	gossip := relay.New(hub, c.Fleet.HeartbeatInterval)
 	list := vmlist.New(c.Platform.VMList, c.Platform.StoreTimeout)
-	p.members = member.New(self, p.gossip, p.hub, list, member.Options{
-		CallerAddress: cmp.Or(c.Daemon.CallerAdvertised, ls.Caller.Addr().String()), Interval: c.Fleet.HeartbeatInterval, SuspectAfter: c.Fleet.SuspectAfter,
-		ListInterval: c.Platform.VMListInterval, WatchersPerAZ: c.Platform.WatchersPerAZ, Seeds: c.Fleet.Seeds,
+	members := member.New(self, gossip, hub, list, member.Options{
+		CallerAddress: cmp.Or(c.Daemon.CallerAdvertised, ls.Caller.Addr().String()), Interval: c.Fleet.HeartbeatInterval,
+		SuspectAfter: c.Fleet.SuspectAfter, ListInterval: c.Platform.VMListInterval,
+		WatchersPerAZ: c.Platform.WatchersPerAZ, Seeds: c.Fleet.Seeds, Superseded: d.supersede,
 	}, d.log)
-	p.gossip.SetOverlay(p.members)
-	d.kernel.Add("store", p.store)
-	d.kernel.Add("peers", p.hub)
-	d.kernel.Add("relay", p.gossip)
-	d.kernel.Add("members", p.members)
+	gossip.SetOverlay(members)
+	d.kernel.Add(storeName, store.New(c.Platform.Store, c.Platform.StoreTimeout, c.Platform.StoreCallRate, d.log))
+	d.kernel.Add(peersName, hub)
+	d.kernel.Add(relayName, gossip)
+	d.kernel.Add(membersName, members)
 }
 
-func (d *Daemon) buildConfig(p *parts) {
-	p.inForce = distribute.NewInForce(p.gossip.Fleet(), d.log)
-	p.watcher = distribute.NewWatcher(p.store, p.gossip, p.members.IsWatcher, d.log)
-	p.acks = distribute.NewAcks(d.cfg.Daemon.ID, d.cfg.Daemon.AvailabilityZone, p.inForce, p.gossip, p.members)
-	d.kernel.Add("configuration", p.inForce)
-	d.kernel.Add("watcher", p.watcher)
-	d.kernel.Add("acknowledgements", p.acks)
+func (d *Daemon) buildConfig() {
+	gossip := find[distribute.Gossip](d, relayName)
+	members := find[*member.Service](d, membersName)
+	inForce := distribute.NewInForce(gossip.Fleet(), d.log)
+	d.kernel.Add(inForceName, inForce)
+	d.kernel.Add(watcherName, distribute.NewWatcher(find[distribute.Objects](d, storeName), gossip, members.IsWatcher, d.log))
+	d.kernel.Add(acksName, distribute.NewAcks(d.cfg.Daemon.ID, d.cfg.Daemon.AvailabilityZone, inForce, gossip, members))
 }
 
-func (d *Daemon) buildState(p *parts) {
-	p.ledger = charge.New(p.store, p.hub, p.members, charge.Options{
+func (d *Daemon) buildState() {
+	hub := find[*peer.Hub](d, peersName)
+	d.kernel.Add(chargesName, charge.New(find[charge.Objects](d, storeName), hub, find[charge.Members](d, membersName), charge.Options{
 		Flush: d.cfg.Fleet.ChargeFlush, MaxHeld: d.cfg.Limits.MaxHeldCharges, HoldTimeout: holdTimeout,
-	}, d.log)
-	p.intents = intent.New(p.store, p.hub, p.members, d.log)
-	p.proof = evidence.New(p.hub.Self(), p.gossip, p.members, p.inForce, evidenceInterval, d.log)
-	d.kernel.Add("charges", p.ledger)
-	d.kernel.Add("intents", p.intents)
-	d.kernel.Add("evidence", p.proof)
+	}, d.log))
+	d.kernel.Add(intentsName, intent.New(find[intent.Objects](d, storeName), hub, find[intent.Members](d, membersName), d.log))
+	d.kernel.Add(evidenceName, evidence.New(hub.Self(), find[evidence.Gossip](d, relayName), find[evidence.Members](d, membersName),
+		find[evidence.Policies](d, inForceName), evidenceInterval, d.log))
 }
 
 // holdTimeout is how long a stand-by may take to hold a charge.
 const holdTimeout = 500 * time.Millisecond
 
-func (d *Daemon) buildRoutes(p *parts) (*chat.Router, *service.Router) {
+func (d *Daemon) buildRoutes() {
 	c := d.cfg
-	places := pool.New(p.members, balance.New(c.Daemon.Region, c.Daemon.AvailabilityZone, nil), c.Daemon.Region, c.Fleet.LinkBytesPerSec)
+	places := pool.New(find[pool.Backends](d, membersName), balance.New(c.Daemon.Region, c.Daemon.AvailabilityZone, nil),
+		c.Daemon.Region, c.Fleet.LinkBytesPerSec)
 	var ratingService chat.RatingService
 	if c.Platform.Rater != "" {
 		ratingService = rater.New(c.Platform.Rater, c.Platform.StoreTimeout)
 	}
 	ratings := chat.NewRatingQueue(ratingService, d.log)
 	engines := engine.New(engine.DefaultDial(), c.Limits.MaxAnswerBytes, c.Limits.StreamStall)
-	chatRouter := chat.New(chat.Deps{
-		Engines: engines, Pool: places, Evidence: p.proof, Policies: p.inForce, Charges: p.ledger, Ratings: ratings,
-		Learner: chat.NewLearner(), Stale: func() bool { return p.watcher.SinceSeen() > staleAfter }, Log: d.log,
-	})
-	serviceRouter := service.New(backend.New(engine.DefaultDial(), c.Limits.MaxAnswerBytes), places, p.intents, p.ledger, d.log)
-	d.kernel.Add("servers", places)
-	d.kernel.Add("placement", d.buildPlacement(p, engines))
-	d.kernel.Add("ratings", ratings)
-	d.kernel.Add("chat", chatRouter)
-	d.kernel.Add("services", serviceRouter)
-	return chatRouter, serviceRouter
-}
-
-func (d *Daemon) buildPlacement(p *parts, engines *engine.Client) *placement.Service {
+	watcher := find[*distribute.Watcher](d, watcherName)
+	d.kernel.Add(serversName, places)
+	d.kernel.Add(enginesName, engines)
+	d.kernel.Add("placement", d.newPlacement())
+	d.kernel.Add(ratingsName, ratings)
+	d.kernel.Add(chatName, chat.New(chat.Deps{
+		Engines: engines, Pool: places, Evidence: find[chat.Evidence](d, evidenceName), Policies: find[chat.Policies](d, inForceName),
+		Charges: find[chat.Charges](d, chargesName), Ratings: ratings, Learner: chat.NewLearner(),
+		Stale: func() bool { return watcher.SinceSeen() > staleAfter }, Log: d.log,
+	}))
+	d.kernel.Add(servicesName, service.New(backend.New(engine.DefaultDial(), c.Limits.MaxAnswerBytes), places,
+		find[service.Intents](d, intentsName), find[service.Charges](d, chargesName), d.log))
+}
+
+func (d *Daemon) newPlacement() *placement.Service {
 	c := d.cfg.Platform
-	held := lease.New(p.store, "placement-"+d.cfg.Daemon.Region, d.cfg.Daemon.ID,
+	held := lease.New(find[lease.Objects](d, storeName), "placement-"+d.cfg.Daemon.Region, d.cfg.Daemon.ID,
 		lease.Options{Duration: c.LeaseDuration, Margin: c.LeaseDuration / leaseMarginPart}, d.log)
-	return placement.New(held, engines, p.members, p.inForce, placement.Options{
-		Region: d.cfg.Daemon.Region, Interval: c.LeaseDuration / renewalsPerLease,
-		Flight: c.OrderFlight, AtOnce: c.LoadsAtOnce,
-	}, d.log)
+	return placement.New(held, find[placement.Engines](d, enginesName), find[placement.Backends](d, membersName),
+		find[placement.Policies](d, inForceName), placement.Options{
+			Region: d.cfg.Daemon.Region, Interval: c.LeaseDuration / renewalsPerLease,
+			Flight: c.OrderFlight, AtOnce: c.LoadsAtOnce,
+		}, d.log)
 }
 
 const (
@@ -219,6 +220,29 @@
 	renewalsPerLease = 4
 )
 
+func (d *Daemon) buildEdges(ls Listeners) {
+	inForce := find[*distribute.InForce](d, inForceName)
+	members := find[*member.Service](d, membersName)
+	objects := find[*store.Client](d, storeName)
+	metrics := newMetrics(d.cfg.Daemon.ID)
+	ready := func() bool { return len(inForce.Templates()) > 0 }
+	d.kernel.Add("ready", &readiness{ready: ready, inForce: inForce, members: members, log: d.log})
+	d.kernel.Add("operator", operator.New(operator.Config{
+		Listener: ls.Operator, Key: d.cfg.Daemon.OperatorKey, Editor: distribute.NewEditor(objects, find[distribute.Gossip](d, relayName)),
+		InForce: inForce, Acks: find[operator.Acks](d, acksName), Members: members, Intents: find[operator.Intents](d, intentsName),
+		Bill: func(ctx context.Context) (charge.Bill, error) { return charge.Read(ctx, objects) },
+		Dump: d.kernel.Dump, Metrics: metrics.handler, Ready: ready, Version: Version,
+	}))
+	d.kernel.Add("caller", caller.New(caller.Config{
+		Region: d.cfg.Daemon.Region, Zone: d.cfg.Daemon.AvailabilityZone, Listener: ls.Caller,
+		Limits: d.cfg.Limits, EntriesLifetime: d.cfg.Fleet.EntriesLifetime, Policies: inForce.Policies,
+		Chat: find[caller.ChatRouter](d, chatName), Services: find[caller.ServiceRouter](d, servicesName),
+		Sessions: session.New(d.cfg.Session.Keys, d.cfg.Session.Lifetime), Demand: find[caller.Demand](d, evidenceName),
+		Entries: members, Membership: members, Accepts: find[*charge.Ledger](d, chargesName).Accepts,
+		Ready: ready, Metrics: metrics.scope, Log: d.log,
+	}))
+}
+
 // dialFrom returns a dialer whose connections come from the IP number that this daemon listens on.
 func dialFrom(listen net.Addr) peer.Dialer {
 	var nd net.Dialer
--- a/internal/app/demo/load.go
+++ b/internal/app/demo/load.go
@@ -17,6 +17,7 @@
 
 	"github.com/pollencourse/pollencourse/internal/core/fault"
 	"github.com/pollencourse/pollencourse/internal/edge/caller"
+	"github.com/pollencourse/pollencourse/internal/standin/platform"
 )
 
 // load sends requests as callers do and notes what came of each.
@@ -29,6 +30,8 @@
 	latency  *hdrhistogram.Histogram
 	answered map[string]bool
 	outcomes map[fault.Outcome]int
+	chats    int
+	poor     int
 	done     atomic.Int64
 }
 
@@ -142,6 +145,9 @@
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	ok := err == nil && resp.StatusCode == http.StatusOK && whole(data)
+	if ok && class != "" {
+		l.noteQuality(!bytes.Contains(data, []byte(platform.PoorMark)))
+	}
 	l.note(id, ok, outcomeOf(data), time.Since(began))
 }
 
@@ -158,6 +164,15 @@
 	return in.Error.Outcome
 }
 
+func (l *load) noteQuality(good bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.chats++
+	if !good {
+		l.poor++
+	}
+}
+
 func (l *load) note(id string, ok bool, outcome fault.Outcome, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/app/demo/report.go
+++ b/internal/app/demo/report.go
@@ -48,6 +48,7 @@
 	line("cost a request", "%.0f micro-units", r.CostPerRequest)
 	line("latency p50", "%.1f ms", r.P50Ms)
 	line("latency p95", "%.1f ms", r.P95Ms)
+	line("good answers shown", "%.3f", r.QualityShown)
 	line("runs of rolling-in version", "%d", r.RollingInRuns)
 	line("template in force in", "%d ms", r.InForceMs)
 }
@@ -60,6 +61,7 @@
 		P50Ms: float64(l.latency.ValueAtQuantile(50)) / millisecond,
 		P95Ms: float64(l.latency.ValueAtQuantile(95)) / millisecond,
 	}
+	r.QualityShown = 1 - float64(l.poor)/float64(max(1, l.chats))
 	charged := map[string]bool{}
 	cost := int64(0)
 	for _, c := range bill.Charges {
--- /dev/null
+++ b/internal/decide/rollout/evidence_test.go
@@ -0,0 +1,43 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestPartsOfTheAllowanceAddUpToIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		allowance := rapid.Float64Range(0, 1000).Draw(t, "allowance")
+		daemons := rapid.IntRange(1, 600).Draw(t, "daemons")
+		total := 0
+		for rank := range daemons {
+			total += Share(allowance, daemons, rank)
+		}
+		require.Equal(t, int(allowance), total)
+	})
+}
+
+// TestLookingAfterEachRatingRarelyStopsAGoodVersion checks that the test is anytime-valid.
+func TestLookingAfterEachRatingRarelyStopsAGoodVersion(t *testing.T) {
+	const runs, ratings, quality = 2000, 500, 0.9
+	rng := rand.New(rand.NewPCG(1, 2))
+	stopped := 0
+	for range runs {
+		good, poor := 0.0, 0.0
+		for range ratings {
+			if rng.Float64() < quality {
+				good++
+			} else {
+				poor++
+			}
+			if Worse(good, poor, quality, 1) {
+				stopped++
+				break
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(stopped)/runs, Alpha)
+}
--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -43,6 +43,8 @@
 	ListInterval  time.Duration
 	WatchersPerAZ int
 	Seeds         []string
+	// Superseded is called once a newer process with this daemon's ID is known.
+	Superseded func()
 }
 
 // Service is the membership of one daemon.
@@ -62,7 +64,9 @@
 	listRev     int64
 	listFailing bool
 	listRead    bool
-	onChange    []func()
+	// superseded is true once a newer process has this daemon's ID; its record is then left alone.
+	superseded bool
+	onChange   []func()
 }
 
 // New returns the membership of the daemon self.
@@ -86,14 +90,32 @@
 	s.cached = nil
 	fns := s.onChange
 	s.mu.Unlock()
-	if r.Key == suspectPrefix+s.self.ID {
+	switch r.Key {
+	case suspectPrefix + s.self.ID:
 		s.refute(r)
+	case daemonPrefix + s.self.ID:
+		s.checkOwn(r)
 	}
 	for _, fn := range fns {
 		fn()
 	}
 }
 
+// checkOwn looks at a record under this daemon's own ID, which another process may have published.
+func (s *Service) checkOwn(r relay.Record) {
+	m, ok := decodeMember(r)
+	switch {
+	case !ok || m.Incarnation == s.self.Incarnation:
+	case m.Incarnation > s.self.Incarnation:
+		s.mu.Lock()
+		s.superseded = true
+		s.mu.Unlock()
+		s.opts.Superseded()
+	default:
+		s.publishSelf()
+	}
+}
+
 // refute publishes this daemon's record anew if the suspicion covers the current one.
 func (s *Service) refute(r relay.Record) {
 	var sus peerpb.SuspectRecord
@@ -105,6 +127,10 @@
 
 func (s *Service) publishSelf() {
 	s.mu.Lock()
+	if s.superseded {
+		s.mu.Unlock()
+		return
+	}
 	rec := &peerpb.DaemonRecord{
 		DaemonId: s.self.ID, Incarnation: s.self.Incarnation, Region: s.self.Region,
 		AvailabilityZone: s.self.AvailabilityZone, CallerAddress: s.opts.CallerAddress,
--- a/internal/proof/decisions/exposure_test.go
+++ b/internal/proof/decisions/exposure_test.go
@@ -201,3 +201,71 @@
 	}
 	require.LessOrEqual(t, bad[1], bad[0])
 }
+
+// TestARollOutWaitsWhileRatingsAreDown sends answers that nobody rates.
+func TestARollOutWaitsWhileRatingsAreDown(t *testing.T) {
+	out := 0
+	bubble(t, func(ctx context.Context) {
+		p, f := rollingPolicy(1), newFleet(exposureDaemons)
+		var services []*evidence.Service
+		for rank := range exposureDaemons {
+			s := evidence.New(f.members[rank].Node, seat{f, rank}, seat{f, rank}, p, time.Second, event.Discard())
+			services = append(services, s)
+			go func() { _ = s.Run(ctx) }()
+		}
+		for i := range 5000 {
+			time.Sleep(20 * time.Millisecond)
+			s := services[i%exposureDaemons]
+			if s.Allows(newKey, exposureBudget, 1) {
+				s.Start(newKey, true)
+				out++
+			}
+		}
+	})
+	measured("exposure.withoutRatings", float64(out), "answers", fmt.Sprint(exposureBudget))
+	require.LessOrEqual(t, out, exposureBudget)
+}
+
+// TestAnInterruptedRollOutStillStopsABadVersion loses three of seven daemons in the middle.
+func TestAnInterruptedRollOutStillStopsABadVersion(t *testing.T) {
+	for seed := range uint64(10) {
+		require.True(t, interruptedRollOut(t, seed), "seed %d", seed)
+	}
+}
+
+func interruptedRollOut(t *testing.T, seed uint64) bool {
+	stopped := false
+	bubble(t, func(ctx context.Context) {
+		rng := rand.New(rand.NewPCG(seed, 6))
+		p, f := rollingPolicy(1), newFleet(exposureDaemons)
+		var services []*evidence.Service
+		lostCtx, lose := context.WithCancel(ctx)
+		for rank := range exposureDaemons {
+			s := evidence.New(f.members[rank].Node, seat{f, rank}, seat{f, rank}, p, time.Second, event.Discard())
+			services = append(services, s)
+			run := ctx
+			if rank >= exposureDaemons-3 {
+				run = lostCtx
+			}
+			go func() { _ = s.Run(run) }()
+		}
+		living := exposureDaemons
+		for i := range 4000 {
+			time.Sleep(25 * time.Millisecond)
+			if i == 100 {
+				lose()
+				living -= 3
+			}
+			s := services[rng.IntN(living)]
+			if s.Stopped(newKey) || !s.Allows(newKey, exposureBudget, 1) {
+				continue
+			}
+			s.Start(newKey, true)
+			isGood := rng.Float64() < 0.5
+			time.AfterFunc(ratingLate, func() { s.Rated(newKey, isGood) })
+		}
+		stopped = services[0].Stopped(newKey)
+		lose()
+	})
+	return stopped
+}
--- a/internal/proof/processes/cluster_test.go
+++ b/internal/proof/processes/cluster_test.go
@@ -149,7 +149,8 @@
 	nextIP++
 	ip := fmt.Sprintf("127.1.%d.%d", nextIP/250, nextIP%250+1)
 	d := &daemonProc{id: fmt.Sprintf("entry-%d", len(c.daemons)+1), place: p, ip: ip}
-	d.caller, d.peer, d.operator = freeAddress(c.t, ip), freeAddress(c.t, ip), freeAddress(c.t, ip)
+	// Each daemon has an IP number of its own, so that fixed ports never clash.
+	d.caller, d.peer, d.operator = ip+":8080", ip+":7080", ip+":9080"
 	d.logPath = filepath.Join(c.dir, d.id+".log")
 	d.settings = filepath.Join(c.dir, d.id+".ini")
 	d.store = toxiproxy.NewProxy(c.toxi, "store-"+d.id, "127.0.0.1:0", strings.TrimPrefix(c.world.PlatformURL, "http://"))
