balance: raise limits by the free slots that servers show

Cause: of 400 streams of 18 s each only 50 were open: a limit grew by one for each answer, and answers took 18 s. Also a serving version that turned bad was stopped after 82 ratings once zones were summed every 4 s, and digests hardly ever agreed because sums change all the time, which cost syncs (3,197 B/s a daemon at 13 zones instead of 2,719).

Change: the load at the head of an answer lets a daemon fill a quarter of the free slots; one change detector on own ratings and one on the fleet's sums; frequent records are left out of the digests; heartbeats to other zones every second round; pauses are noticed after 2 s; entries lists end after 16.

--- a/internal/app/daemon/ready.go
+++ b/internal/app/daemon/ready.go
@@ -29,9 +29,9 @@
 const missingAfter = 5 * time.Second
 
 // pauseLimit is how much longer than asked a wait may take before it counts as a pause of the process.
-const pauseLimit = time.Second
+const pauseLimit = 2 * time.Second
 
-const readyInterval = 100 * time.Millisecond
+const readyInterval = 500 * time.Millisecond
 
 // Run waits for a configuration, then notes pauses of the process until ctx ends.
 func (r *readiness) Run(ctx context.Context) error {
--- a/internal/back/engine/client.go
+++ b/internal/back/engine/client.go
@@ -33,6 +33,8 @@
 	Body      []byte
 	// ResumeAfter is the number of stream chunks already received from an earlier connection.
 	ResumeAfter int
+	// OnLoad, if set, gets the engine's load as soon as the head of the answer arrives.
+	OnLoad func(balance.Report)
 }
 
 // Client sends attempts to engines.
@@ -102,6 +104,9 @@
 
 func checkHead(resp *http.Response, call Call) (*answer, *Failure) {
 	a := &answer{resp: resp, load: parseLoad(resp.Header.Get(loadHeader))}
+	if call.OnLoad != nil && a.load.Slots > 0 {
+		call.OnLoad(a.load)
+	}
 	if resp.StatusCode != http.StatusOK {
 		_ = resp.Body.Close()
 		f := &Failure{Sent: Delivered, Reason: BadStatus, Status: resp.StatusCode}
--- a/internal/decide/balance/balancer.go
+++ b/internal/decide/balance/balancer.go
@@ -166,6 +166,19 @@
 	s := b.server(t)
 	s.inFlight--
 	s.settle(o, rep, took, now)
+	b.signal()
+}
+
+// Report takes the load that a server showed at the head of an answer.
+func (b *Balancer) Report(t Target, rep Report) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.server(t).learn(rep)
+	b.signal()
+}
+
+// signal wakes whoever waits for a place; b.mu is held.
+func (b *Balancer) signal() {
 	close(b.released)
 	b.released = make(chan struct{})
 }
--- a/internal/decide/balance/server.go
+++ b/internal/decide/balance/server.go
@@ -64,6 +64,20 @@
 	return busy / float64(s.report.Slots)
 }
 
+// freePart is the part of a server's free slots that one daemon may fill before it hears more.
+const freePart = 4
+
+// learn takes a report into account: known free slots raise the limit without waiting for answers,
+// which may take many seconds each.
+func (s *server) learn(rep Report) {
+	s.report = rep
+	if rep.Waiting > 0 || rep.Running >= rep.Slots {
+		return
+	}
+	room := max(1, (rep.Slots-rep.Running)/freePart)
+	s.limit = min(maxLimit, max(s.limit, float64(s.inFlight+room)))
+}
+
 // settle takes the end of an attempt into account.
 func (s *server) settle(o Outcome, rep Report, took time.Duration, now time.Time) {
 	if rep.Slots > 0 {
--- a/internal/edge/caller/entries.go
+++ b/internal/edge/caller/entries.go
@@ -38,13 +38,16 @@
 		Entries         []entry `json:"entries"`
 		LifetimeSeconds float64 `json:"lifetimeSeconds"`
 	}{Entries: []entry{}, LifetimeSeconds: s.cfg.EntriesLifetime.Seconds()}
-	for _, m := range usable {
+	for _, m := range usable[:min(len(usable), maxEntries)] {
 		out.Entries = append(out.Entries, entry{m.CallerAddress, m.Region, m.AvailabilityZone})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(out)
 }
 
+// maxEntries bounds the list; in a large fleet a caller needs only the nearest.
+const maxEntries = 16
+
 func distance(m member.Member, zone, region string) int {
 	switch {
 	case m.AvailabilityZone == zone:
--- a/internal/fleet/evidence/service.go
+++ b/internal/fleet/evidence/service.go
@@ -29,6 +29,8 @@
 	stopPrefix = "stop/"
 	// smooth is the weight of the newest interval in the demand.
 	smooth = 0.3
+	// sumRounds is the number of intervals between two sums of a zone, which go to the whole fleet.
+	sumRounds = 2
 	// negligibleDemand is a rate below which a demand is not published.
 	negligibleDemand = 0.05
 )
@@ -69,14 +71,21 @@
 	demand  map[string]float64
 	// fleet is the sum over all availability zones at the last round.
 	fleet *totals
-	// published and included are the own counts last published, and those that fleet contains.
-	published map[Key]Counts
+	// published holds the own counts of the last reports, oldest first; included are those that
+	// fleet contains.
+	published []map[Key]Counts
 	included  map[Key]Counts
-	changes   map[Key]*watched
+	changes   map[watchKey]*watched
 	sentOwn   []byte
 	sentSum   []byte
 }
 
+// watchKey names a detector: of this daemon's own ratings or of the fleet's sums.
+type watchKey struct {
+	key Key
+	own bool
+}
+
 // watched is a serving version's detector with the counts that it has taken.
 type watched struct {
 	detector *rollout.Change
@@ -90,7 +99,7 @@
 	return &Service{
 		self: self, gossip: gossip, members: members, policies: policies, interval: interval, log: log,
 		own: map[Key]Counts{}, arrived: map[string]int64{}, demand: map[string]float64{},
-		fleet: newTotals(), changes: map[Key]*watched{},
+		published: make([]map[Key]Counts, sumRounds+1), fleet: newTotals(), changes: map[watchKey]*watched{},
 	}
 }
 
@@ -201,7 +210,7 @@
 func (s *Service) Run(ctx context.Context) error {
 	ticker := time.NewTicker(s.interval)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			s.publishOwn()
@@ -210,7 +219,9 @@
 		}
 		s.measureDemand()
 		s.publishOwn()
-		s.publishZone()
+		if round%sumRounds == 0 {
+			s.publishZone()
+		}
 		s.sumFleet()
 		s.judgeAll()
 	}
@@ -234,8 +245,8 @@
 	s.mu.Lock()
 	t := newTotals()
 	t.daemons = 1
-	s.included = s.published
-	s.published = maps.Clone(s.own)
+	s.included = s.published[0]
+	s.published = append(s.published[1:], maps.Clone(s.own))
 	for k, c := range s.own {
 		t.versions[k] = c
 	}
--- a/internal/fleet/relay/gossip.go
+++ b/internal/fleet/relay/gossip.go
@@ -87,8 +87,10 @@
 // Zone returns the table that stays within the availability zone.
 func (g *Gossip) Zone() *Table { return g.tables[ZoneTable] }
 
-// MarkFrequent has fleet records under a prefix sent over the edges of the tree only.
+// MarkFrequent has fleet records under a prefix sent over the edges of the tree only and left
+// out of the digests.
 func (g *Gossip) MarkFrequent(prefix string) {
+	g.Fleet().leaveOut(prefix)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.frequent = append(g.frequent, prefix)
@@ -228,10 +230,22 @@
 		if round%reportRounds == 0 {
 			g.repeatReports()
 		}
-		if o := g.getOverlay(); o != nil {
-			for _, n := range o.Neighbours() {
-				g.startBeat(ctx, n)
-			}
+		g.beatAll(ctx, round)
+	}
+}
+
+// crossRounds is the number of heartbeats in the zone for one to another zone.
+const crossRounds = 2
+
+// beatAll sends the heartbeats of one round; those to other zones are rarer, since each zone has two links.
+func (g *Gossip) beatAll(ctx context.Context, round int) {
+	o := g.getOverlay()
+	if o == nil {
+		return
+	}
+	for _, n := range o.Neighbours() {
+		if n.AvailabilityZone == g.calls.Self().AvailabilityZone || round%crossRounds == 0 {
+			g.startBeat(ctx, n)
 		}
 	}
 }
--- a/internal/fleet/relay/table.go
+++ b/internal/fleet/relay/table.go
@@ -36,6 +36,8 @@
 	buckets [bucketCount]uint64
 	bytes   int
 	watch   []subscription
+	// frequent holds the prefixes of records that are left out of the digests.
+	frequent []string
 }
 
 type subscription struct {
@@ -83,10 +85,10 @@
 	}
 	b := bucketOf(r.Key)
 	if ok {
-		t.buckets[b] ^= digest(old)
+		t.buckets[b] ^= t.digest(old)
 		t.bytes -= len(old.Key) + len(old.Body)
 	}
-	t.buckets[b] ^= digest(r)
+	t.buckets[b] ^= t.digest(r)
 	t.bytes += len(r.Key) + len(r.Body)
 	t.records[r.Key] = r
 	return true
@@ -98,7 +100,7 @@
 	defer t.mu.Unlock()
 	for _, k := range keys {
 		if old, ok := t.records[k]; ok {
-			t.buckets[bucketOf(k)] ^= digest(old)
+			t.buckets[bucketOf(k)] ^= t.digest(old)
 			t.bytes -= len(old.Key) + len(old.Body)
 			delete(t.records, k)
 		}
@@ -198,7 +200,21 @@
 
 func bucketOf(key string) int { return int(xxhash.Sum64String(key) % bucketCount) }
 
-func digest(r Record) uint64 {
+// leaveOut keeps records under a prefix out of the digests; it must precede such records.
+//
+// They change all the time, so that two tables would hardly ever be alike, and are
+// published again soon; a daemon that is new gets them with the rest of its first exchange.
+func (t *Table) leaveOut(prefix string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.frequent = append(t.frequent, prefix)
+}
+
+// digest is what a record adds to its bucket; t.mu is held.
+func (t *Table) digest(r Record) uint64 {
+	if slices.ContainsFunc(t.frequent, func(p string) bool { return strings.HasPrefix(r.Key, p) }) {
+		return 0
+	}
 	var buf [8]byte
 	binary.LittleEndian.PutUint64(buf[:], uint64(r.Version))
 	h := xxhash.New()
--- a/internal/fleet/relay/table_test.go
+++ b/internal/fleet/relay/table_test.go
@@ -84,3 +84,15 @@
 		_, _ = g.handlePull(nil, g.calls.Self(), data)
 	})
 }
+
+func TestFrequentRecordsAreLeftOutOfTheDigests(t *testing.T) {
+	x, y := NewTable("x"), NewTable("y")
+	for _, table := range []*Table{x, y} {
+		table.leaveOut("sum/")
+		table.Apply(body(Record{Key: "a", Version: 1}))
+	}
+	x.Apply(Record{Key: "sum/1", Version: 1}, Record{Key: "sum/1", Version: 2})
+	require.Equal(t, x.Root(), y.Root())
+	x.Remove("sum/1")
+	require.Equal(t, x.Root(), y.Root())
+}
--- a/internal/proof/processes/callers_test.go
+++ b/internal/proof/processes/callers_test.go
@@ -56,7 +56,9 @@
 		return r
 	}
 	req.Header.Set("Authorization", "Bearer "+testKey)
-	req.Header.Set(caller.RequestIDHeader, id)
+	if id != "" {
+		req.Header.Set(caller.RequestIDHeader, id)
+	}
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
--- a/internal/proof/processes/capacity_bench_test.go
+++ b/internal/proof/processes/capacity_bench_test.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -320,3 +322,43 @@
 	}
 	return len(page.Items), bytes, len(c.charges().Charges)
 }
+
+// BenchmarkStreamMemory measures the memory of open streams.
+func BenchmarkStreamMemory(b *testing.B) {
+	l := fastLayout(400)
+	l.Engines[0].Spec.TokenGap = 45 * time.Millisecond
+	l.Engines[0].Spec.Slots = 1000
+	c := start(b, options{layout: l, places: []place{pwaniA}, direct: true, production: true})
+	c.mustPut("quotes", quotesTemplate(), 0)
+	d := c.daemons[0]
+	c.client.Transport = &http.Transport{MaxIdleConnsPerHost: 1000}
+	var wg sync.WaitGroup
+	var counts, memory []float64
+	open := 0
+	for _, n := range []int{50, 100, 200, 400} {
+		for ; open < n; open++ {
+			id := fmt.Sprintf("open-%d", open)
+			wg.Go(func() { c.ask(d, id, true) })
+			// Limits of servers grow with answers, so that streams are opened gradually.
+			time.Sleep(2 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		held := d.resident(b) / (1 << 20)
+		inFlight := c.inFlight(d)
+		measured(fmt.Sprintf("streams.memory.open=%d", inFlight), held, "MB", "256")
+		counts, memory = append(counts, float64(inFlight)), append(memory, held)
+	}
+	slope("streams.memory", counts, memory, "MB")
+	c.stop()
+	wg.Wait()
+}
+
+func (c *cluster) inFlight(d *daemonProc) int {
+	var out struct {
+		Caller struct {
+			InFlight int `json:"inFlight"`
+		} `json:"caller"`
+	}
+	require.NoError(c.t, c.getJSON("http://"+d.operator+"/v1/dump", &out))
+	return out.Caller.InFlight
+}
--- a/internal/proof/processes/once_test.go
+++ b/internal/proof/processes/once_test.go
@@ -273,3 +273,16 @@
 	c.eventually(10*time.Second, "the released ID can run", func() bool { return c.book(c.daemons[0], "nowhere").whole })
 	require.Equal(t, 1, c.bookingRuns()["nowhere"])
 }
+
+func TestATemplateMayRunCallsWithoutTheStoreOnlyForCallersWithoutAnID(t *testing.T) {
+	c := start(t, options{layout: smallLayout(pwaniA), places: []place{pwaniA, pwaniB}})
+	c.mustPut("quotes", quotesTemplate("idempotent = false", "idempotent = false\nwithoutStore = run"), 0)
+	c.control(c.world.PlatformURL, "/control/store", platform.Faults{Down: true})
+	d := c.daemons[0]
+	r := c.book(d, "with-an-id")
+	require.Equal(t, fault.NotRun, r.outcome, "%s", r.body)
+	require.Zero(t, c.bookingRuns()["with-an-id"])
+	r = c.book(d, "")
+	require.True(t, r.whole, "%s", r.body)
+	require.Equal(t, 1, c.bookingRuns()[r.header.Get(caller.RequestIDHeader)])
+}
--- a/internal/route/chat/complete.go
+++ b/internal/route/chat/complete.go
@@ -6,6 +6,7 @@
 
 	"github.com/pollencourse/pollencourse/internal/back/engine"
 	"github.com/pollencourse/pollencourse/internal/core/fault"
+	"github.com/pollencourse/pollencourse/internal/decide/balance"
 	"github.com/pollencourse/pollencourse/internal/decide/cascade"
 )
 
@@ -87,6 +88,7 @@
 		began := time.Now()
 		whole, f := u.router.engines.Complete(ctx, engine.Call{
 			Address: t.Address, AttemptID: newAttemptID(), RequestID: u.req.RequestID, Body: body,
+			OnLoad: func(rep balance.Report) { u.router.pool.Report(t, rep) },
 		})
 		u.release(t, f, whole.Load, began)
 		if f == nil {
--- a/internal/route/chat/router.go
+++ b/internal/route/chat/router.go
@@ -30,6 +30,7 @@
 type Pool interface {
 	Acquire(ctx context.Context, need pool.Need) (balance.Target, error)
 	Release(t balance.Target, o balance.Outcome, rep balance.Report, took time.Duration)
+	Report(t balance.Target, rep balance.Report)
 	Leaving(t balance.Target)
 	Usable(offer string) bool
 	Exhausted(offer string, avoid []string) bool
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -175,6 +175,9 @@
 	p.balancer.Release(t, o, rep, took, time.Now())
 }
 
+// Report takes the load that a server showed at the head of an answer.
+func (p *Pool) Report(t balance.Target, rep balance.Report) { p.balancer.Report(t, rep) }
+
 // Leaving notes that a server said that it takes no more work.
 func (p *Pool) Leaving(t balance.Target) { p.balancer.Leaving(t, time.Now()) }
 
