--- /dev/null
+++ b/internal/fleet/peer/hub_test.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pollencourse/pollencourse/internal/core/event"
+	"github.com/pollencourse/pollencourse/internal/core/fault"
+	"github.com/pollencourse/pollencourse/internal/fleet/peerpb"
+)
+
+type testHub struct {
+	*Hub
+	superseded atomic.Bool
+}
+
+func startHub(t *testing.T, id string, incarnation int64, key string) *testHub {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	h := &testHub{}
+	self := Node{ID: id, Incarnation: incarnation, AvailabilityZone: "z", PeerAddress: l.Addr().String()}
+	h.Hub = New(self, []string{key}, l, func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}, event.Discard(), func() { h.superseded.Store(true) })
+	h.Handle("echo", func(_ context.Context, from Node, body []byte) (proto.Message, error) {
+		var q peerpb.IntentQuery
+		if err := proto.Unmarshal(body, &q); err != nil {
+			return nil, err
+		}
+		if q.GetKey() == "fail" {
+			return nil, fault.New(fault.Conflict, "do something else", "it failed")
+		}
+		return &peerpb.IntentQuery{Key: from.ID + " " + q.GetKey()}, nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = h.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return h
+}
+
+func echo(h *testHub, to Node, text string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var out peerpb.IntentQuery
+	err := h.Call(ctx, to, "echo", &peerpb.IntentQuery{Key: text}, &out)
+	return out.GetKey(), err
+}
+
+func TestCallsGoBothWaysOverOneConnection(t *testing.T) {
+	a, b := startHub(t, "a", 1, "key-1"), startHub(t, "b", 1, "key-1")
+	for range 20 {
+		got, err := echo(a, b.Self(), "x")
+		require.NoError(t, err)
+		require.Equal(t, "a x", got)
+		got, err = echo(b, a.Self(), "y")
+		require.NoError(t, err)
+		require.Equal(t, "b y", got)
+	}
+	require.Len(t, a.Connected(), 1)
+	require.Len(t, b.Connected(), 1)
+}
+
+func TestErrorsKeepTheirKindAndRemedy(t *testing.T) {
+	a, b := startHub(t, "a", 1, "key-1"), startHub(t, "b", 1, "key-1")
+	_, err := echo(a, b.Self(), "fail")
+	require.Equal(t, fault.Conflict, fault.KindOf(err))
+	require.Equal(t, "do something else", fault.As(err).Remedy)
+	err = a.Call(t.Context(), b.Self(), "nothing", &peerpb.IntentQuery{}, nil)
+	require.Equal(t, fault.NotFound, fault.KindOf(err))
+}
+
+func TestAPeerWithAnotherKeyIsRefused(t *testing.T) {
+	a, b := startHub(t, "a", 1, "key-1"), startHub(t, "b", 1, "key-2")
+	_, err := echo(a, b.Self(), "x")
+	require.Equal(t, fault.Unavailable, fault.KindOf(err))
+	require.Empty(t, b.Connected())
+}
+
+func TestOfTwoIncarnationsTheNewerIsListenedTo(t *testing.T) {
+	a, older, newer := startHub(t, "a", 1, "key-1"), startHub(t, "b", 1, "key-1"), startHub(t, "b", 2, "key-1")
+	_, err := echo(a, newer.Self(), "x")
+	require.NoError(t, err)
+	a.Drop("b")
+	_, err = echo(older, a.Self(), "x")
+	require.Error(t, err, "an older incarnation is refused")
+	_, err = older.Join(t.Context(), newer.Self().PeerAddress)
+	require.Error(t, err)
+	require.True(t, older.superseded.Load())
+	require.False(t, newer.superseded.Load())
+}
