--- a/internal/fleet/relay/table_test.go
+++ b/internal/fleet/relay/table_test.go
@@ -77,11 +77,11 @@
 	require.NoError(f, err)
 	f.Add(good)
 	f.Add([]byte{0xff, 0x01})
-	f.Fuzz(func(_ *testing.T, data []byte) {
+	f.Fuzz(func(t *testing.T, data []byte) {
 		g := New(&silentCaller{}, 1)
-		_, _ = g.handlePush(nil, g.calls.Self(), data)
-		_, _ = g.handleSync(nil, g.calls.Self(), data)
-		_, _ = g.handlePull(nil, g.calls.Self(), data)
+		_, _ = g.handlePush(t.Context(), g.calls.Self(), data)
+		_, _ = g.handleSync(t.Context(), g.calls.Self(), data)
+		_, _ = g.handlePull(t.Context(), g.calls.Self(), data)
 	})
 }
 
--- a/internal/proof/decisions/cost_test.go
+++ b/internal/proof/decisions/cost_test.go
@@ -49,7 +49,7 @@
 }
 
 // expected is the mean cost and quality of a fixed rule over fresh prompts.
-func expected(models []model, rule func(prompt string) (cost float64, isGood bool)) (cost, quality float64) {
+func expected(rule func(prompt string) (cost float64, isGood bool)) (cost, quality float64) {
 	for i := range truthSize {
 		c, g := rule(fmt.Sprint("fresh-", i))
 		cost += c / truthSize
@@ -77,7 +77,7 @@
 	require.True(t, ok)
 	clairvoyant := mix.Weight*mix.Other.Cost + (1-mix.Weight)*mix.Plan.Cost
 	best := models[len(models)-1].price
-	fixedCost, fixedQuality := expected(models, fixedThreshold(models, 0.6))
+	fixedCost, fixedQuality := expected(fixedThreshold(models, 0.6))
 	var costs, qualities []float64
 	missed := 0
 	for seed := range uint64(costSeeds) {
--- a/internal/proof/decisions/exposure_test.go
+++ b/internal/proof/decisions/exposure_test.go
@@ -30,7 +30,6 @@
 	stopped bool
 	// shareAtEnd is the part of the last hundred requests that the new version got.
 	shareAtEnd float64
-	settled    time.Duration
 }
 
 func rollingPolicy(weight float64) *policies {
--- a/internal/proof/decisions/fakes_test.go
+++ b/internal/proof/decisions/fakes_test.go
@@ -147,14 +147,6 @@
 
 func (w *world) OnChange(fn func()) { w.changed = append(w.changed, fn) }
 
-func (w *world) setQuality(version string, q float64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	m := w.models[version]
-	m.quality = q
-	w.models[version] = m
-}
-
 func (w *world) model(version string) (model, float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
