member: let the last daemon of a zone link the trees

Ruled out: the second daemon instead; it has two children as well.

Change: the last member, a leaf, holds the links of the tree to other zones; unchanged sums are published again after 30 s, since they are no longer repaired by digests.

--- a/internal/fleet/evidence/service.go
+++ b/internal/fleet/evidence/service.go
@@ -76,8 +76,8 @@
 	published []map[Key]Counts
 	included  map[Key]Counts
 	changes   map[watchKey]*watched
-	sentOwn   []byte
-	sentSum   []byte
+	sentOwn   lastSent
+	sentSum   lastSent
 }
 
 // watchKey names a detector: of this daemon's own ratings or of the fleet's sums.
@@ -262,19 +262,28 @@
 	return fmt.Sprintf("%s%s/%d", ownPrefix, s.self.ID, s.self.Incarnation)
 }
 
-func (s *Service) publishChanged(publish func(string, proto.Message) error, key string, rec *peerpb.EvidenceRecord, sent *[]byte) {
+// lastSent is what was published last, and when.
+type lastSent struct {
+	body []byte
+	at   time.Time
+}
+
+// repeatAfter is when an unchanged record is published again, in case one was lost on its way.
+const repeatAfter = 30 * time.Second
+
+func (s *Service) publishChanged(publish func(string, proto.Message) error, key string, rec *peerpb.EvidenceRecord, last *lastSent) {
 	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(rec)
-	if err != nil || bytes.Equal(body, *sent) {
+	if err != nil || bytes.Equal(body, last.body) && time.Since(last.at) < repeatAfter {
 		return
 	}
-	*sent = body
+	*last = lastSent{body: body, at: time.Now()}
 	_ = publish(key, rec)
 }
 
 // publishZone publishes the sum over the zone, if this daemon is its first.
 func (s *Service) publishZone() {
 	if s.members.Rank() != 0 {
-		s.sentSum = nil
+		s.sentSum = lastSent{}
 		return
 	}
 	live := map[string]bool{}
--- a/internal/fleet/member/overlay.go
+++ b/internal/fleet/member/overlay.go
@@ -25,8 +25,11 @@
 		return overlay{}
 	}
 	var o overlay
-	o.near = append(fingers(own, at), crossing(zones, self.AvailabilityZone, at, crossLinks)...)
-	o.tree = append(treeEdges(own, at), crossing(zones, self.AvailabilityZone, at, 1)...)
+	o.near = append(fingers(own, at), crossing(zones, self.AvailabilityZone, at)...)
+	o.tree = treeEdges(own, at)
+	if at == len(own)-1 {
+		o.tree = append(o.tree, lastOfOthers(zones, self.AvailabilityZone)...)
+	}
 	for _, m := range own[:min(crossLinks, len(own))] {
 		o.aggregators = append(o.aggregators, m.Node)
 	}
@@ -55,9 +58,21 @@
 	return out
 }
 
+// lastOfOthers are the links between the trees of zones. The last member, a leaf, holds them:
+// the first ones have most to send already.
+func lastOfOthers(zones map[string][]Member, zone string) []peer.Node {
+	var out []peer.Node
+	for other, members := range zones {
+		if other != zone {
+			out = append(out, members[len(members)-1].Node)
+		}
+	}
+	return out
+}
+
 // crossing are the links of the first members of a zone to one member of each other zone.
-func crossing(zones map[string][]Member, zone string, at, links int) []peer.Node {
-	if at >= links {
+func crossing(zones map[string][]Member, zone string, at int) []peer.Node {
+	if at >= crossLinks {
 		return nil
 	}
 	var out []peer.Node
