--- a/internal/decide/admission/queue_test.go
+++ b/internal/decide/admission/queue_test.go
@@ -53,8 +53,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	for _, c := range claims {
+		c.Deadline = time.Now().Add(time.Hour)
 		for range each {
-			c.Deadline = time.Now().Add(time.Hour)
 			wg.Go(func() {
 				if q.Wait(ctx, c, p.try, p.changed) == nil {
 					mu.Lock()
