chat: count broken answers of a rolling-in version as poor

Cause: reading the code as a newcomer: a version whose answers break off was never rated and so never stopped; the versions of a template were taken from a random account; two fields were unused.

Change: attempts of a rolling-in version that end incomplete, stalled, too large or with an error status count as poor ratings; the first account by name tells the versions; a process test in which the new version cuts every answer.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -147,8 +147,8 @@
 	gossip := relay.New(hub, c.Fleet.HeartbeatInterval)
 	list := vmlist.New(c.Platform.VMList, c.Platform.StoreTimeout)
 	members := member.New(self, gossip, hub, list, member.Options{
-		CallerAddress: cmp.Or(c.Daemon.CallerAdvertised, ls.Caller.Addr().String()), Interval: c.Fleet.HeartbeatInterval,
-		SuspectAfter: c.Fleet.SuspectAfter, ListInterval: c.Platform.VMListInterval,
+		CallerAddress: cmp.Or(c.Daemon.CallerAdvertised, ls.Caller.Addr().String()),
+		SuspectAfter:  c.Fleet.SuspectAfter, ListInterval: c.Platform.VMListInterval,
 		WatchersPerAZ: c.Platform.WatchersPerAZ, Seeds: c.Fleet.Seeds, Superseded: d.supersede,
 	}, d.log)
 	gossip.SetOverlay(members)
--- a/internal/fleet/evidence/judge.go
+++ b/internal/fleet/evidence/judge.go
@@ -1,7 +1,9 @@
 package evidence
 
 import (
+	"maps"
 	"math"
+	"slices"
 
 	"github.com/pollencourse/pollencourse/internal/config/template"
 	"github.com/pollencourse/pollencourse/internal/core/event"
@@ -41,12 +43,14 @@
 	}
 }
 
-// versionsOf returns the versions of a template; they are the same for all accounts but for parameters.
+// versionsOf returns the versions of a template as its first account by name has them; those of
+// other accounts differ by parameters only.
 func versionsOf(t *template.Template) []template.Version {
-	for _, p := range t.Accounts {
-		return p.Versions
+	if len(t.Accounts) == 0 {
+		return nil
 	}
-	return nil
+	first := slices.Min(slices.Collect(maps.Keys(t.Accounts)))
+	return t.Accounts[first].Versions
 }
 
 // exposureWeight is the highest weight that any account of a template gives to exposure.
--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -38,7 +38,6 @@
 // Options sets the timing of the membership.
 type Options struct {
 	CallerAddress string
-	Interval      time.Duration
 	SuspectAfter  time.Duration
 	ListInterval  time.Duration
 	WatchersPerAZ int
@@ -63,7 +62,6 @@
 	ready       bool
 	listRev     int64
 	listFailing bool
-	listRead    bool
 	// superseded is true once a newer process has this daemon's ID; its record is then left alone.
 	superseded bool
 	onChange   []func()
@@ -309,7 +307,6 @@
 	s.mu.Lock()
 	failing := s.listFailing
 	s.listFailing = err != nil
-	s.listRead = s.listRead || err == nil
 	s.mu.Unlock()
 	if err != nil && !failing && ctx.Err() == nil {
 		s.log.Emit(event.VMListUnavailable, "error", err.Error())
--- a/internal/proof/processes/rollout_test.go
+++ b/internal/proof/processes/rollout_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pollencourse/pollencourse/internal/standin/engine"
 )
 
 // rollingIn has a second version that replaces the first one, within an exposure of ten answers.
@@ -75,3 +77,31 @@
 	wg.Wait()
 	require.False(t, c.logged("rolloutStopped"))
 }
+
+func TestAVersionThatBreaksOffItsAnswersIsStopped(t *testing.T) {
+	l := twoVersions(pwaniA, pwaniB)
+	// The new version has engines of its own, which cut every answer.
+	l.Engines = append(l.Engines, l.Engines[0])
+	l.Engines[0].Spec.Serves = map[string]float64{"small@1": 0.95}
+	l.Engines[1].Spec.Serves = map[string]float64{"small@1": 0.95}
+	l.Engines[2].Spec.Serves = map[string]float64{"small@2": 0.95}
+	c := start(t, options{layout: l, places: []place{pwaniA, pwaniB}})
+	for _, id := range []string{"engine-5", "engine-6"} {
+		c.control("http://"+c.world.Engines[id], "/control/faults", engine.Faults{CutAfter: 1})
+	}
+	c.mustPut("quotes", quotesTemplate("[class default]", rollingIn), 0)
+	y := newTally()
+	stop := make(chan struct{})
+	wg := c.background(y, 8, stop)
+	c.eventually(20*time.Second, "the roll-out is stopped", func() bool { return c.logged("rolloutStopped") })
+	close(stop)
+	wg.Wait()
+	broken := 0
+	for _, replies := range y.replies {
+		if !replies[0].whole {
+			broken++
+		}
+	}
+	measured("rollout.brokenAnswers", float64(broken), fmt.Sprintf("of-%d-requests", len(y.replies)), "20")
+	require.LessOrEqual(t, broken, 20)
+}
--- a/internal/route/chat/attempt.go
+++ b/internal/route/chat/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pollencourse/pollencourse/internal/back/engine"
+	"github.com/pollencourse/pollencourse/internal/config/template"
 	"github.com/pollencourse/pollencourse/internal/core/event"
 	"github.com/pollencourse/pollencourse/internal/core/fault"
 	"github.com/pollencourse/pollencourse/internal/decide/admission"
@@ -51,12 +52,13 @@
 }
 
 // release tells the balancer how an attempt ended.
-func (u *run) release(t balance.Target, f *engine.Failure, rep balance.Report, began time.Time) {
+func (u *run) release(t balance.Target, version string, f *engine.Failure, rep balance.Report, began time.Time) {
 	u.router.pool.Release(t, outcomeOf(f), rep, time.Since(began))
 	if f == nil {
 		return
 	}
 	u.note(f.Sent)
+	u.blame(version, f)
 	u.avoid = append(slices.Clone(u.avoid), t.ID)
 	if f.Leaving {
 		u.router.pool.Leaving(t)
@@ -70,6 +72,21 @@
 	}
 }
 
+// blame counts an answer that broke off as a poor one, if its version is rolling in: nobody
+// rates such answers, and a version that crashes must not roll in for that.
+func (u *run) blame(version string, f *engine.Failure) {
+	v := u.version(version)
+	if v.State != template.RollingIn {
+		return
+	}
+	switch f.Reason {
+	case engine.Incomplete, engine.Stalled, engine.BadStatus, engine.TooLarge:
+		k := keyOf(u.req.Policy, v)
+		u.router.evidence.Start(k, true)
+		u.router.evidence.Rated(k, false)
+	}
+}
+
 func outcomeOf(f *engine.Failure) balance.Outcome {
 	switch {
 	case f == nil:
--- a/internal/route/chat/complete.go
+++ b/internal/route/chat/complete.go
@@ -90,7 +90,7 @@
 			Address: t.Address, AttemptID: newAttemptID(), RequestID: u.req.RequestID, Body: body,
 			OnLoad: func(rep balance.Report) { u.router.pool.Report(t, rep) },
 		})
-		u.release(t, f, whole.Load, began)
+		u.release(t, version, f, whole.Load, began)
 		if f == nil {
 			u.note(engine.Answering)
 			u.spent(version, whole.Usage)
--- a/internal/route/chat/stream.go
+++ b/internal/route/chat/stream.go
@@ -144,7 +144,7 @@
 	call.Address = t.Address
 	call.OnLoad = func(rep balance.Report) { u.router.pool.Report(t, rep) }
 	out, f := u.router.engines.Stream(ctx, call, sink)
-	u.release(t, f, out.Load, began)
+	u.release(t, sink.version, f, out.Load, began)
 	if f == nil {
 		u.note(engine.Answering)
 		u.spent(sink.version, out.Usage)
