proof: run clean under the race detector, daemons included

Cause: the harness's table of regions was written while its proxies read it, and reports of the race detector in daemons' logs went unseen.

--- a/internal/proof/processes/cluster_test.go
+++ b/internal/proof/processes/cluster_test.go
@@ -91,7 +91,6 @@
 
 func start(t testing.TB, o options) *cluster {
 	t.Helper()
-	places := map[string]string{}
 	if !o.production {
 		o.platform = testPlatform + o.platform
 		o.extra = testFleet + o.extra
@@ -99,17 +98,11 @@
 	c := &cluster{t: t, dir: t.TempDir(), extra: o.extra, platform: o.platform, direct: o.direct, client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: 60 * time.Second,
 	}}
-	c.links = newLinks(func(from, to string) time.Duration {
-		if places[from] == places[to] {
-			return 0
-		}
-		return regionDelay
-	})
+	c.links = newLinks()
 	c.toxi = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	c.startStandins(o.layout)
 	for _, p := range o.places {
 		d := c.newDaemon(p)
-		places[d.id] = p.region
 		c.launch(d)
 	}
 	t.Cleanup(c.stop)
@@ -158,7 +151,7 @@
 	c.t.Cleanup(d.store.Stop)
 	advertised := d.peer
 	if !c.direct {
-		advertised = c.links.front(c.t, d.id, ip, d.peer)
+		advertised = c.links.front(c.t, d.id, p.region, ip, d.peer)
 	}
 	text := fmt.Sprintf(`[daemon]
 id = %s
@@ -225,6 +218,7 @@
 		d.signal(syscall.SIGKILL)
 		<-d.exited
 	}
+	c.checkForRaces()
 	if c.t.Failed() {
 		for _, d := range c.daemons {
 			log, _ := os.ReadFile(d.logPath)
@@ -233,6 +227,16 @@
 	}
 }
 
+// checkForRaces looks for reports of the race detector in the daemons' logs.
+func (c *cluster) checkForRaces() {
+	for _, d := range c.daemons {
+		log, _ := os.ReadFile(d.logPath)
+		if i := strings.Index(string(log), "WARNING: DATA RACE"); i >= 0 {
+			c.t.Errorf("%s: %.3000s", d.id, log[i:])
+		}
+	}
+}
+
 func tail(s string, n int) string {
 	lines := strings.Split(strings.TrimSpace(s), "\n")
 	return strings.Join(lines[max(0, len(lines)-n):], "\n")
--- a/internal/proof/processes/links_test.go
+++ b/internal/proof/processes/links_test.go
@@ -14,26 +14,27 @@
 //
 // Daemons dial from their own IP numbers, so that a proxy in front of each daemon knows the pair.
 type links struct {
-	mu    sync.Mutex
-	cut   map[pair]bool
-	delay func(from, to string) time.Duration
-	names map[string]string
-	conns map[net.Conn]pair
+	mu      sync.Mutex
+	cut     map[pair]bool
+	regions map[string]string
+	names   map[string]string
+	conns   map[net.Conn]pair
 }
 
 type pair struct{ from, to string }
 
-func newLinks(delay func(from, to string) time.Duration) *links {
-	return &links{cut: map[pair]bool{}, delay: delay, names: map[string]string{}, conns: map[net.Conn]pair{}}
+func newLinks() *links {
+	return &links{cut: map[pair]bool{}, regions: map[string]string{}, names: map[string]string{}, conns: map[net.Conn]pair{}}
 }
 
 // front opens a proxy before the daemon at target and returns its address.
-func (l *links) front(t testing.TB, name, ip, target string) string {
+func (l *links) front(t testing.TB, name, region, ip, target string) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
 	l.mu.Lock()
 	l.names[ip] = name
+	l.regions[name] = region
 	l.mu.Unlock()
 	go func() {
 		for {
@@ -53,6 +54,7 @@
 	from := l.names[c.RemoteAddr().(*net.TCPAddr).IP.String()]
 	p := pair{from, to}
 	blocked := l.cut[p]
+	d := l.delay(p)
 	l.conns[c] = p
 	l.mu.Unlock()
 	defer func() {
@@ -68,13 +70,20 @@
 		return
 	}
 	defer up.Close()
-	d := l.delay(from, to)
 	done := make(chan struct{}, 2)
 	go func() { forward(up, c, d); done <- struct{}{} }()
 	go func() { forward(c, up, d); done <- struct{}{} }()
 	<-done
 }
 
+// delay is the one-way time between two daemons; l.mu is held.
+func (l *links) delay(p pair) time.Duration {
+	if l.regions[p.from] == l.regions[p.to] {
+		return 0
+	}
+	return regionDelay
+}
+
 type chunk struct {
 	data []byte
 	due  time.Time
