--- a/internal/proof/processes/answers_test.go
+++ b/internal/proof/processes/answers_test.go
@@ -47,6 +47,7 @@
 					switch {
 					case r.whole:
 						whole++
+						require.NotContains(t, string(r.body), "chatcmpl-another-", "an answer to another request")
 						require.Equal(t, 10, strings.Count(string(r.body), "fine")+strings.Count(string(r.body), "unclear"), "%s", r.body)
 					case strings.Contains(string(r.body), `"error"`):
 						plain++
