caller: serve a second longer than the entries' lifetime

A caller that asked another daemon just before that one heard of the leaving kept the list for its whole lifetime from then, past the leaving daemon's end; and closing idle connections met requests on their way.

Ruled out: a fault of the request path; the request never reached it.

Change: the daemon serves for the lifetime and one second more, in which the record reaches everyone; answers of a leaving daemon end their connection, and idle ones stay open until the end.

--- a/internal/edge/caller/server.go
+++ b/internal/edge/caller/server.go
@@ -74,18 +74,32 @@
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, limits: &limits{demand: cfg.Demand, buckets: map[string]*rate.Limiter{}}}
 	s.http = &http.Server{
-		Handler: s.routes(), ReadHeaderTimeout: cfg.Limits.HeaderTimeout,
+		Handler: s.closeWhenLeaving(s.routes()), ReadHeaderTimeout: cfg.Limits.HeaderTimeout,
 		MaxHeaderBytes: cfg.Limits.MaxHeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: silent(),
 	}
 	return s
 }
 
+// spreadTime is how long other daemons may go on listing this one after it left.
+const spreadTime = time.Second
+
 const (
 	idleTimeout = 2 * time.Minute
 	bodyTimeout = 30 * time.Second
 )
 
+// closeWhenLeaving ends each kept connection after its answer once the daemon is leaving. Idle
+// ones are left open, since a request may be on its way over them.
+func (s *Server) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", s.handleChat)
@@ -111,8 +125,7 @@
 	s.cfg.Log.Emit(event.DaemonStopping, "inFlight", s.inFlight.Load())
 	s.leaving.Store(true)
 	s.cfg.Membership.Leave()
-	time.Sleep(s.cfg.EntriesLifetime)
-	s.http.SetKeepAlivesEnabled(false)
+	time.Sleep(s.cfg.EntriesLifetime + spreadTime)
 	if err := s.http.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
