evidence: never count a rating twice

Change: the fleet's sum, or the own counts while they have more ratings, never both. The process test rolls a version of 0.99 in, since one at its baseline may be stopped with a probability of up to 0.01 by design.

--- a/internal/fleet/evidence/service.go
+++ b/internal/fleet/evidence/service.go
@@ -165,15 +165,16 @@
 	return occupied < int64(rollout.Share(allowance, len(daemons), rank))
 }
 
-// known is the fleet's evidence with what this daemon counted since; s.mu is held.
+// known is the fleet's evidence, or this daemon's own while that has more ratings; s.mu is held.
+//
+// The two are not added: how much of the own counts a sum contains is known only roughly, and
+// ratings counted twice would stop good versions.
 func (s *Service) known(k Key) rollout.Evidence {
-	c, own, included := s.fleet.versions[k], s.own[k], s.included[k]
-	return rollout.Evidence{
-		Started: float64(c.Started + own.Started - included.Started),
-		Good:    float64(c.Good + own.Good - included.Good),
-		Poor:    float64(c.Poor + own.Poor - included.Poor),
-		Unrated: float64(c.Unrated + own.Unrated - included.Unrated),
+	c, own := s.fleet.versions[k], s.own[k]
+	if own.Good+own.Poor > c.Good+c.Poor {
+		c = own
 	}
+	return rollout.Evidence{Started: float64(c.Started), Good: float64(c.Good), Poor: float64(c.Poor), Unrated: float64(c.Unrated)}
 }
 
 // Fleet returns the fleet's counts of a version.
--- a/internal/proof/processes/rollout_test.go
+++ b/internal/proof/processes/rollout_test.go
@@ -64,6 +64,10 @@
 func TestAGoodVersionThatRollsInTakesItsShare(t *testing.T) {
 	l := twoVersions(pwaniA, pwaniB)
 	l.RatingDelay = 20 * time.Millisecond
+	// At its baseline a version is stopped with a probability of up to Alpha; a better one hardly ever.
+	for i := range l.Engines {
+		l.Engines[i].Spec.Serves = map[string]float64{"small@1": 0.95, "small@2": 0.99}
+	}
 	c := start(t, options{layout: l, places: []place{pwaniA, pwaniB}})
 	c.mustPut("quotes", quotesTemplate("[class default]", rollingIn), 0)
 	y := newTally()
