--- /dev/null
+++ b/cmd/pollencourse/entry.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/pollencourse/pollencourse/internal/app/entry"
+	"github.com/pollencourse/pollencourse/internal/core/event"
+	"github.com/pollencourse/pollencourse/platform"
+)
+
+// memoryPart is the part of a VM's memory from which garbage is collected more often.
+const memoryPart = 0.6
+
+func newEntry() *cobra.Command {
+	return &cobra.Command{
+		Use:   "entry",
+		Short: "Run the daemon of an entry VM on the users' platform",
+		Long: "Runs the daemon with the settings file that " + platform.SettingsVariable +
+			" names until SIGTERM or SIGINT, then shuts down without cutting a request.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return runEntry(cmd.Context()) },
+	}
+}
+
+func runEntry(ctx context.Context) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	cfg, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryBytes)))
+	log := event.New(os.Stdout, "info", "json", cfg.ID)
+	d, err := entry.New(cfg, log)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
--- a/cmd/pollencourse/main.go
+++ b/cmd/pollencourse/main.go
@@ -67,7 +67,7 @@
 	}
 	g.register(root)
 	root.AddCommand(
-		newServe(), newDemo(g), newCheck(g), newTemplate(g), newStatus(g), newDump(g), newCharges(g), newIntents(g), newVersion(g),
+		newServe(), newEntry(), newDemo(g), newCheck(g), newTemplate(g), newStatus(g), newDump(g), newCharges(g), newIntents(g), newVersion(g),
 	)
 	return root
 }
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/pollencourse/pollencourse/internal/core/event"
 	"github.com/pollencourse/pollencourse/internal/core/fault"
 	"github.com/pollencourse/pollencourse/internal/core/kernel"
+	"github.com/pollencourse/pollencourse/internal/core/metrics"
 	"github.com/pollencourse/pollencourse/internal/core/settings"
 	"github.com/pollencourse/pollencourse/internal/decide/balance"
 	"github.com/pollencourse/pollencourse/internal/edge/caller"
@@ -224,14 +225,14 @@
 	inForce := find[*distribute.InForce](d, inForceName)
 	members := find[*member.Service](d, membersName)
 	objects := find[*store.Client](d, storeName)
-	metrics := newMetrics(d.cfg.Daemon.ID)
+	m := metrics.New(d.cfg.Daemon.ID)
 	ready := func() bool { return len(inForce.Templates()) > 0 }
 	d.kernel.Add("ready", &readiness{ready: ready, inForce: inForce, members: members, log: d.log})
 	d.kernel.Add("operator", operator.New(operator.Config{
 		Listener: ls.Operator, Key: d.cfg.Daemon.OperatorKey, Editor: distribute.NewEditor(objects, find[distribute.Gossip](d, relayName)),
 		InForce: inForce, Acks: find[operator.Acks](d, acksName), Members: members, Intents: find[operator.Intents](d, intentsName),
 		Bill: func(ctx context.Context) (charge.Bill, error) { return charge.Read(ctx, objects) },
-		Dump: d.kernel.Dump, Metrics: metrics.handler, Ready: ready, Version: Version,
+		Dump: d.kernel.Dump, Metrics: m.Handler, Ready: ready, Version: Version,
 	}))
 	d.kernel.Add("caller", caller.New(caller.Config{
 		Region: d.cfg.Daemon.Region, Zone: d.cfg.Daemon.AvailabilityZone, Listener: ls.Caller,
@@ -239,7 +240,7 @@
 		Chat: find[caller.ChatRouter](d, chatName), Services: find[caller.ServiceRouter](d, servicesName),
 		Sessions: session.New(d.cfg.Session.Keys, d.cfg.Session.Lifetime), Demand: find[caller.Demand](d, evidenceName),
 		Entries: members, Membership: members, Accepts: find[*charge.Ledger](d, chargesName).Accepts,
-		Ready: ready, Metrics: metrics.scope, Log: d.log,
+		Ready: ready, Metrics: m.Scope, Log: d.log,
 	}))
 }
 
--- /dev/null
+++ b/internal/app/entry/configshare.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pollencourse/pollencourse/internal/config/mirror"
+	"github.com/pollencourse/pollencourse/internal/config/routing"
+	"github.com/pollencourse/pollencourse/internal/core/event"
+	"github.com/pollencourse/pollencourse/internal/fleet/peer"
+	"github.com/pollencourse/pollencourse/internal/fleet/peerpb"
+	"github.com/pollencourse/pollencourse/internal/fleet/relay"
+	"github.com/pollencourse/pollencourse/platform"
+)
+
+const (
+	// revisionKey is the fleet table's record of the newest configuration; its body names a daemon that holds it.
+	revisionKey = "routing"
+	servicePull = "routing.pull"
+	// pullAfter is how long the store has to deliver a configuration that a peer already has.
+	pullAfter   = 700 * time.Millisecond
+	pullTimeout = time.Second
+)
+
+// configShare takes configurations from the store and, if it does not deliver, from peers.
+type configShare struct {
+	tables *routing.Holder
+	gossip *relay.Gossip
+	hub    *peer.Hub
+	log    *event.Log
+	wake   chan struct{}
+
+	mu     sync.Mutex
+	newest mirror.Object
+}
+
+func newConfigShare(tables *routing.Holder, gossip *relay.Gossip, hub *peer.Hub, log *event.Log) *configShare {
+	s := &configShare{tables: tables, gossip: gossip, hub: hub, log: log, wake: make(chan struct{}, 1)}
+	hub.Handle(servicePull, s.handlePull)
+	gossip.Fleet().Subscribe(revisionKey, func(relay.Record) {
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	})
+	return s
+}
+
+// Replace takes the stored configuration.
+func (s *configShare) Replace(objects []mirror.Object, _ bool) {
+	for _, o := range objects {
+		s.take(o, "store")
+	}
+}
+
+// Apply takes a change of the stored configuration.
+func (s *configShare) Apply(c mirror.Change) {
+	if !c.Deleted {
+		s.take(c.Object, "store")
+	}
+}
+
+// take puts a configuration in force if it is newer, and tells the peers.
+func (s *configShare) take(o mirror.Object, source string) {
+	if o.Name != platform.ConfigName {
+		return
+	}
+	t, err := platform.DecodeConfig(o)
+	if err != nil {
+		s.log.Emit(event.ConfigRefused, "revision", o.Revision, "source", source, "error", err.Error())
+		return
+	}
+	if !s.tables.Offer(t, source) {
+		return
+	}
+	s.mu.Lock()
+	s.newest = o
+	s.mu.Unlock()
+	s.gossip.Publish(relay.Record{Key: revisionKey, Version: t.Revision, Body: []byte(s.hub.Self().ID + "\n" + s.hub.Self().PeerAddress)})
+}
+
+// handlePull gives a peer the configuration in force.
+func (s *configShare) handlePull(context.Context, peer.Node, []byte) (proto.Message, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &peerpb.Push{Records: []*peerpb.Record{{Key: s.newest.Name, Version: s.newest.Revision, Body: s.newest.Spec}}}, nil
+}
--- /dev/null
+++ b/internal/config/mirror/mirror.go
@@ -0,0 +1,160 @@
+package mirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"github.com/pollencourse/pollencourse/internal/core/event"
+)
+
+// ErrHistoryGone is returned by a source that no longer has the changes asked for.
+var ErrHistoryGone = errors.New("the store dropped the history asked for")
+
+// Object is one stored object; Revision is the store's at its last change.
+type Object struct {
+	Name     string
+	Revision int64
+	// Created is the revision at which the object was made.
+	Created int64
+	Spec    []byte
+	Status  []byte
+}
+
+// Change is an object that was written or deleted.
+type Change struct {
+	Object  Object
+	Deleted bool
+}
+
+// Source reads one kind of objects.
+type Source interface {
+	// List returns all objects and the store's revision.
+	List(ctx context.Context, kind string) (objects []Object, at int64, err error)
+	// Watch waits for changes after a revision and returns the revision to go on from.
+	Watch(ctx context.Context, kind string, from int64, wait time.Duration) (changes []Change, at int64, err error)
+}
+
+// Sink takes what the store holds.
+type Sink interface {
+	// Replace takes the whole state; after an outage, entries may be missing for a while.
+	Replace(objects []Object, afterOutage bool)
+	// Apply takes one change.
+	Apply(c Change)
+}
+
+const (
+	// watchWait is how long one call waits for a change; the platform takes 30 s at most.
+	watchWait = 10 * time.Second
+	// firstPause and longestPause bound the time between calls while the store does not answer.
+	firstPause   = 150 * time.Millisecond
+	longestPause = 900 * time.Millisecond
+)
+
+// Mirror follows one kind.
+type Mirror struct {
+	source Source
+	kind   string
+	sink   Sink
+	log    *event.Log
+
+	mu       sync.Mutex
+	failing  bool
+	answered time.Time
+	revision int64
+	lists    int64
+}
+
+// New returns a mirror of a kind.
+func New(source Source, kind string, sink Sink, log *event.Log) *Mirror {
+	return &Mirror{source: source, kind: kind, sink: sink, log: log}
+}
+
+// Run follows the kind until ctx ends.
+func (m *Mirror) Run(ctx context.Context) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
+	for ctx.Err() == nil {
+		err := m.follow(ctx, pause.Reset)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause.NextBackOff()):
+		}
+	}
+	return nil
+}
+
+// follow lists and then watches until a call fails or the history is gone.
+func (m *Mirror) follow(ctx context.Context, answered func()) error {
+	objects, at, err := m.source.List(ctx, m.kind)
+	if err != nil {
+		m.note(ctx, err)
+		return err
+	}
+	m.sink.Replace(objects, m.note(ctx, nil))
+	m.at(at)
+	answered()
+	for {
+		changes, next, err := m.source.Watch(ctx, m.kind, at, watchWait)
+		switch {
+		case errors.Is(err, ErrHistoryGone):
+			m.log.Emit(event.StoreHistoryGone, "kind", m.kind, "revision", at)
+			return nil
+		case err != nil:
+			m.note(ctx, err)
+			return err
+		}
+		for _, c := range changes {
+			m.sink.Apply(c)
+		}
+		at = max(at, next)
+		m.at(at)
+	}
+}
+
+func (m *Mirror) at(revision int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision = revision
+	m.answered = time.Now()
+}
+
+// note logs the loss and the return of the store and reports whether it was away until now.
+func (m *Mirror) note(ctx context.Context, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	m.mu.Lock()
+	was := m.failing
+	m.failing = err != nil
+	if err == nil {
+		m.lists++
+	}
+	m.mu.Unlock()
+	switch {
+	case err != nil && !was:
+		m.log.Emit(event.StoreUnavailable, "kind", m.kind, "error", err.Error())
+	case err == nil && was:
+		m.log.Emit(event.StoreReturned, "kind", m.kind)
+	}
+	return was
+}
+
+// Dump shows the revision reached and when the store last answered.
+func (m *Mirror) Dump() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return struct {
+		Kind     string    `json:"kind"`
+		Revision int64     `json:"revision"`
+		Answered time.Time `json:"answered"`
+		Failing  bool      `json:"failing"`
+		Lists    int64     `json:"lists"`
+	}{m.kind, m.revision, m.answered, m.failing, m.lists}
+}
--- /dev/null
+++ b/internal/config/routing/holder.go
@@ -0,0 +1,65 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pollencourse/pollencourse/internal/core/event"
+)
+
+// Holder keeps the table in force.
+type Holder struct {
+	log     *event.Log
+	current atomic.Pointer[Table]
+
+	mu      sync.Mutex
+	since   time.Time
+	changed []func(*Table)
+}
+
+// NewHolder returns a holder without a table.
+func NewHolder(log *event.Log) *Holder { return &Holder{log: log} }
+
+// OnChange calls fn after each change of the table in force.
+func (h *Holder) OnChange(fn func(*Table)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changed = append(h.changed, fn)
+}
+
+// Current returns the table in force, or nil before the first one.
+func (h *Holder) Current() *Table { return h.current.Load() }
+
+// Offer puts a table in force if its revision is higher; source says where it came from.
+func (h *Holder) Offer(t *Table, source string) bool {
+	h.mu.Lock()
+	if old := h.current.Load(); old != nil && old.Revision >= t.Revision {
+		h.mu.Unlock()
+		return false
+	}
+	h.current.Store(t)
+	h.since = time.Now()
+	fns := h.changed
+	h.mu.Unlock()
+	h.log.Emit(event.ConfigInForce, "revision", t.Revision, "routes", t.Routes(), "source", source)
+	for _, fn := range fns {
+		fn(t)
+	}
+	return true
+}
+
+// Dump shows the revision in force and its age.
+func (h *Holder) Dump() any {
+	t := h.Current()
+	if t == nil {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return struct {
+		Revision int64     `json:"revision"`
+		Routes   int       `json:"routes"`
+		Since    time.Time `json:"since"`
+	}{t.Revision, t.Routes(), h.since}
+}
--- a/internal/core/event/catalogue.go
+++ b/internal/core/event/catalogue.go
@@ -22,6 +22,7 @@
 	StoreUnavailable  = Event{200, "storeUnavailable", log.WarnLevel, "the store does not answer", "check the platform; charges are held and non-idempotent work is refused until it returns"}
 	StoreReturned     = Event{201, "storeReturned", log.InfoLevel, "the store answers again", "none"}
 	StoreWentBack     = Event{202, "storeWentBack", log.ErrorLevel, "the store answered with an older version than was seen", "check the platform for a restored backup; the newer version stays in force"}
+	StoreHistoryGone  = Event{204, "storeHistoryGone", log.InfoLevel, "the store dropped the history that a watch asked for; the objects are listed again", "none"}
 	StoreBudgetSpent  = Event{203, "storeBudgetSpent", log.WarnLevel, "the store's call budget is used up; calls wait", "raise storeCallRate or add daemons"}
 	VMListUnavailable = Event{210, "vmListUnavailable", log.WarnLevel, "the VM list does not answer", "check the platform; the last list stays in use"}
 
@@ -30,6 +31,10 @@
 	ConfigMissing = Event{302, "configMissing", log.WarnLevel, "no configuration yet from the store or a peer", "check the store and the seeds"}
 	ConfigStale   = Event{303, "configStale", log.WarnLevel, "cut off from the store and every peer; rolling-in versions are not used", "restore the network"}
 
+	ServerEntry           = Event{310, "serverEntry", log.InfoLevel, "a backend server registered or changed its entry", "none"}
+	ServerGone            = Event{311, "serverGone", log.InfoLevel, "the entry of a backend server is gone; it gets no new work", "none"}
+	ServerEntryUnreadable = Event{312, "serverEntryUnreadable", log.WarnLevel, "a server entry can't be read and names no server", "find out who wrote it"}
+
 	PeerConnected    = Event{400, "peerConnected", log.DebugLevel, "connected to a peer", "none"}
 	PeerLost         = Event{401, "peerLost", log.InfoLevel, "connection to a peer was lost", "none; the fleet decides whether it is dead"}
 	PeerSuspected    = Event{402, "peerSuspected", log.WarnLevel, "a peer does not answer and is suspected", "check its VM"}
@@ -51,10 +56,17 @@
 	AnswerMismatch    = Event{601, "answerMismatch", log.ErrorLevel, "a backend server answered another request; the connection was closed", "withdraw the backend server"}
 	AnswerIncomplete  = Event{602, "answerIncomplete", log.WarnLevel, "an answer ended before it was whole", "check the backend server"}
 	AttemptDisallowed = Event{603, "attemptDisallowed", log.ErrorLevel, "the last check before sending found the version not allowed", "none; the request was not sent"}
+	RequestDone       = Event{610, "requestDone", log.InfoLevel, "a request was answered as its server answered it", "none"}
+	RequestFailed     = Event{611, "requestFailed", log.WarnLevel, "a request was refused or failed", "follow its request ID to the attempts before"}
+	StreamResumed     = Event{612, "streamResumed", log.InfoLevel, "a stream goes on at another backend server", "none"}
+	LinesDropped      = Event{613, "linesDropped", log.WarnLevel, "log lines were left out to bound their volume", "none; counters hold the totals"}
 
-	RolloutStopped   = Event{700, "rolloutStopped", log.WarnLevel, "a version is worse than its predecessor; it gets no new work", "withdraw it in the template, or apply a corrected version"}
-	QualityBelow     = Event{701, "qualityBelow", log.WarnLevel, "a serving version's quality fell below the target", "review the version; requests move to others"}
-	RaterUnavailable = Event{702, "raterUnavailable", log.WarnLevel, "the rating service does not answer", "check it; roll-outs stop widening"}
+	RolloutStopped    = Event{700, "rolloutStopped", log.WarnLevel, "a version is worse than its predecessor; it gets no new work", "withdraw it in the template, or apply a corrected version"}
+	QualityBelow      = Event{701, "qualityBelow", log.WarnLevel, "a serving version's quality fell below the target", "review the version; requests move to others"}
+	RolloutState      = Event{703, "rolloutState", log.InfoLevel, "the store's state of a roll-out", "none"}
+	RolloutWritten    = Event{704, "rolloutWritten", log.InfoLevel, "the outcome of a roll-out was written to the store, or the write failed", "read the error; it is tried again"}
+	RolloutUnreadable = Event{705, "rolloutUnreadable", log.WarnLevel, "an order to roll a version in can't be read", "write it again"}
+	RaterUnavailable  = Event{702, "raterUnavailable", log.WarnLevel, "the rating service does not answer", "check it; roll-outs stop widening"}
 
 	OrderSent    = Event{800, "orderSent", log.InfoLevel, "an order was sent to an engine", "none"}
 	OrderRefused = Event{801, "orderRefused", log.WarnLevel, "an engine refused an order with an old fencing number", "none; another daemon holds the lease"}
@@ -65,12 +77,15 @@
 // Catalogue lists every event by number.
 var Catalogue = []Event{
 	DaemonStarted, DaemonStopping, DaemonStopped, DaemonSuperseded, ServiceFailed,
-	StoreUnavailable, StoreReturned, StoreWentBack, StoreBudgetSpent, VMListUnavailable,
+	StoreUnavailable, StoreReturned, StoreWentBack, StoreBudgetSpent, StoreHistoryGone, VMListUnavailable,
 	ConfigInForce, ConfigRefused, ConfigMissing, ConfigStale,
+	ServerEntry, ServerGone, ServerEntryUnreadable,
 	PeerConnected, PeerLost, PeerSuspected, PeerRejoined, PeerMessageWrong, PauseNoticed,
 	ChargeBatchStored, ChargeBatchTaken, ChargeUnprotected, ChargeBufferFull, ChargeBatchRefused,
 	IntentReleased, IntentUnknown, OutcomeNotWritten,
 	AttemptFailed, AnswerMismatch, AnswerIncomplete, AttemptDisallowed,
+	RequestDone, RequestFailed, StreamResumed, LinesDropped,
 	RolloutStopped, QualityBelow, RaterUnavailable,
+	RolloutState, RolloutWritten, RolloutUnreadable,
 	OrderSent, OrderRefused, LeaseTaken, LeaseLost,
 }
--- a/internal/core/fault/error.go
+++ b/internal/core/fault/error.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,6 +15,8 @@
 	Message string
 	Remedy  string
 	Cause   error
+	// RetryAfter is when the caller may try again; 0 if nothing is known.
+	RetryAfter time.Duration
 }
 
 // New returns an error of the given kind whose remedy the reader can follow.
@@ -33,6 +36,12 @@
 	return e
 }
 
+// WithRetryAfter returns e with the time after which the caller may try again.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
 // Error formats the message, its cause and the remedy on one line.
 func (e *Error) Error() string {
 	s := e.Message
--- /dev/null
+++ b/internal/core/metrics/doc.go
@@ -0,0 +1,2 @@
+// Package metrics collects counters and histograms and serves them as text.
+package metrics
--- a/internal/app/daemon/metrics.go
+++ b/internal/core/metrics/metrics.go
@@ -1,4 +1,4 @@
-package daemon
+package metrics
 
 import (
 	"net/http"
@@ -9,15 +9,16 @@
 	"github.com/uber-go/tally/v4/prometheus"
 )
 
-// metrics is a scope whose values are served over HTTP.
-type metrics struct {
-	scope   tally.Scope
-	handler http.Handler
+// Metrics is a scope whose values are served over HTTP.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
 }
 
 const reportInterval = time.Second
 
-func newMetrics(daemonID string) metrics {
+// New returns the metrics of a daemon.
+func New(daemonID string) Metrics {
 	registry := prom.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{
 		Registerer: registry, Gatherer: registry, DefaultTimerType: prometheus.HistogramTimerType,
@@ -27,5 +28,5 @@
 		Prefix: "pollencourse", Tags: map[string]string{"daemon": daemonID},
 		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 	}, reportInterval)
-	return metrics{scope: scope, handler: reporter.HTTPHandler()}
+	return Metrics{Scope: scope, Handler: reporter.HTTPHandler()}
 }
--- /dev/null
+++ b/internal/route/forward/events.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// eventReader splits a stream into whole events.
+type eventReader struct {
+	r   *bufio.Reader
+	buf []byte
+}
+
+// readerBytes is the buffer of one stream; an event is a few hundred bytes.
+const readerBytes = 4 << 10
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, readerBytes)}
+}
+
+// next returns the bytes of one event with its empty line, valid until the next call, and its ID.
+//
+// At a clean end it returns what is left of an event together with io.EOF.
+func (e *eventReader) next() (event []byte, id string, err error) {
+	e.buf = e.buf[:0]
+	for {
+		line, err := e.r.ReadSlice('\n')
+		e.buf = append(e.buf, line...)
+		if errors.Is(err, bufio.ErrBufferFull) && len(e.buf) < maxEventBytes {
+			continue
+		}
+		if err != nil {
+			return e.buf, id, err
+		}
+		if len(e.buf) > maxEventBytes {
+			return e.buf, id, errors.Newf("an event exceeds %d bytes", maxEventBytes)
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 && len(e.buf) > len(line) {
+			return e.buf, id, nil
+		}
+		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+}
+
+// more reports whether bytes of another event are already here.
+func (e *eventReader) more() bool { return e.r.Buffered() > 0 }
--- /dev/null
+++ b/internal/route/forward/router.go
@@ -0,0 +1,318 @@
+package forward
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pollencourse/pollencourse/internal/back/registry"
+	"github.com/pollencourse/pollencourse/internal/core/event"
+	"github.com/pollencourse/pollencourse/internal/core/fault"
+	"github.com/pollencourse/pollencourse/internal/decide/place"
+	"github.com/pollencourse/pollencourse/internal/decide/retry"
+)
+
+// Servers knows the backend servers.
+type Servers interface {
+	View() *registry.View
+}
+
+// Versions says which servers of a service may take a request, and judges versions by their answers.
+type Versions interface {
+	// Eligible returns the servers that may take a request; key names its session, or itself.
+	Eligible(service, key string, servers []registry.Server) []registry.Server
+	Begin(s registry.Server)
+	End(s registry.Server)
+	// Judge counts an answer; unit is the time that a piece of it took, class what it is compared with.
+	Judge(s registry.Server, route, class string, bad bool, unit time.Duration)
+}
+
+// Models chooses among the models of a route.
+type Models interface {
+	// First returns the model of the first attempt.
+	First(models []string) string
+	// Next returns the model that should answer instead, if the confidence of the first is too low.
+	Next(models []string, model string, confidence int) (next string, ok bool)
+}
+
+// Options sets the bounds of a router.
+type Options struct {
+	// RetryRatio is the part of a retry that each request to a service earns.
+	RetryRatio float64
+	// RetryBound is how many retries are saved up.
+	RetryBound float64
+	// ZoneRegion gives the region of each availability zone.
+	ZoneRegion map[string]string
+}
+
+// Router routes requests by the configuration in force.
+type Router struct {
+	upstream Upstream
+	servers  Servers
+	versions Versions
+	models   Models
+	chooser  *place.Chooser
+	opts     Options
+	log      *event.Log
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+
+	counts counts
+}
+
+type counts struct {
+	requests  atomic.Int64
+	attempts  atomic.Int64
+	repeats   atomic.Int64
+	escalated atomic.Int64
+	resumed   atomic.Int64
+	inFlight  atomic.Int64
+}
+
+// New returns a router.
+func New(upstream Upstream, servers Servers, versions Versions, models Models, chooser *place.Chooser, opts Options, log *event.Log) *Router {
+	return &Router{
+		upstream: upstream, servers: servers, versions: versions, models: models, chooser: chooser,
+		opts: opts, log: log, budgets: map[string]*retry.Budget{},
+	}
+}
+
+// Serve answers one request through w, or returns an error that says whether it ran.
+//
+// Once the answer has begun, an error means that the connection must be cut.
+func (r *Router) Serve(ctx context.Context, req *Request, w http.ResponseWriter) error {
+	r.counts.requests.Add(1)
+	r.counts.inFlight.Add(1)
+	defer r.counts.inFlight.Add(-1)
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	r.budget(req.Service).Earn()
+	u := &run{router: r, req: req, w: w, lastEvent: req.LastEvent}
+	var err error
+	if req.streams() {
+		err = u.stream(ctx)
+	} else {
+		err = u.call(ctx)
+	}
+	r.logEnd(u, err)
+	return err
+}
+
+func (r *Router) budget(service string) *retry.Budget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.budgets[service]
+	if b == nil {
+		b = retry.NewRatio(r.opts.RetryRatio, r.opts.RetryBound)
+		r.budgets[service] = b
+	}
+	return b
+}
+
+// logEnd writes the one line that tells how a request ended.
+func (r *Router) logEnd(u *run, err error) {
+	took := time.Since(u.req.Arrived).Milliseconds()
+	server, model := "", ""
+	if u.last != nil {
+		server, model = u.last.server.ID, u.last.model
+	}
+	if err == nil {
+		r.log.Emit(event.RequestDone, "request", u.req.ID, "route", u.req.Route.Name, "revision", u.req.Revision,
+			"server", server, "model", model, "status", u.status, "attempts", u.attempts, "ms", took)
+		return
+	}
+	e := fault.As(err)
+	r.log.Emit(event.RequestFailed, "request", u.req.ID, "route", u.req.Route.Name, "revision", u.req.Revision,
+		"server", server, "model", model, "attempts", u.attempts, "ms", took, "kind", string(e.Kind),
+		"outcome", string(e.Outcome), "begun", u.begun, "error", e.Error())
+}
+
+// run is the work on one request.
+type run struct {
+	router *Router
+	req    *Request
+	w      http.ResponseWriter
+
+	// attempts counts the attempts that reached a server.
+	attempts int
+	// tries counts all attempts, those that reached no server included.
+	tries int
+	avoid []string
+	last  *attempt
+	// mayHaveRun is true once an attempt left that its server did not disown.
+	mayHaveRun bool
+	begun      bool
+	status     int
+	lastEvent  string
+}
+
+// attempt is one attempt in flight at a server.
+type attempt struct {
+	run    *run
+	server registry.Server
+	model  string
+	began  time.Time
+	work   float64
+	cancel context.CancelFunc
+	// sent is true once the server has the request, whole once its answer was read to the end.
+	sent   bool
+	whole  bool
+	events int
+	ended  bool
+}
+
+// maxTries bounds the attempts of one request, those that reached no server included.
+const maxTries = 6
+
+// start chooses a server and sends the request; the attempt must be ended.
+func (u *run) start(ctx context.Context, model string) (*attempt, *Reply, *Failure, error) {
+	server, work, err := u.place()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	sendCtx, cancel := context.WithCancel(ctx)
+	a := &attempt{run: u, server: server, model: model, began: time.Now(), work: work, cancel: cancel}
+	u.last = a
+	u.tries++
+	u.router.versions.Begin(server)
+	u.router.counts.attempts.Add(1)
+	reply, f := u.router.upstream.Send(sendCtx, Attempt{
+		Request: u.req, Server: server, Left: time.Until(u.req.Deadline), Model: model, LastEvent: u.lastEvent,
+	})
+	if f == nil || f.Sent {
+		a.sent = true
+		u.attempts++
+		u.mayHaveRun = u.mayHaveRun || f != nil || !reply.NotRun
+	}
+	return a, reply, f, nil
+}
+
+// place chooses a server and counts the attempt there.
+func (u *run) place() (registry.Server, float64, error) {
+	view := u.router.servers.View()
+	servers := u.router.versions.Eligible(u.req.Service, cmp.Or(u.req.Session, u.req.ID), view.Of(u.req.Service))
+	if len(servers) == 0 {
+		return registry.Server{}, 0, u.refused(fault.Unavailable, "no backend server of %s takes work", u.req.Service)
+	}
+	ask := place.Ask{Candidates: make([]place.Candidate, len(servers)), Key: u.req.affinity(), Work: u.work(), Avoid: u.avoid}
+	for i, s := range servers {
+		ask.Candidates[i] = place.Candidate{
+			ID: s.ID, Born: s.Born, AvailabilityZone: s.AvailabilityZone,
+			Region: u.router.opts.ZoneRegion[s.AvailabilityZone], Slots: s.Slots,
+		}
+	}
+	id, ok := u.router.chooser.Choose(ask, time.Now())
+	if !ok {
+		return registry.Server{}, 0, u.refused(fault.Unavailable, "every backend server of %s failed this request", u.req.Service)
+	}
+	i := slices.IndexFunc(servers, func(s registry.Server) bool { return s.ID == id })
+	return servers[i], ask.Work, nil
+}
+
+const (
+	// usualTokens is the prompt, in tokens, that counts as one unit of work.
+	usualTokens = 4000
+	// outWeight is how many prompt tokens one token of the answer is worth.
+	outWeight = 10
+)
+
+// work is how much of a server the request takes, in units of a usual request.
+func (u *run) work() float64 {
+	p := u.req.Prompt
+	if p.TokensIn == 0 {
+		return 1
+	}
+	return float64(p.TokensIn+outWeight*p.TokensOut) / usualTokens
+}
+
+// end releases the attempt's place and counts its outcome; it may be called more than once.
+func (a *attempt) end(o place.Outcome) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.cancel()
+	r := a.run.router
+	r.chooser.Release(a.server.ID, a.work, o, time.Now())
+	r.versions.End(a.server)
+	if o == place.Refused || o == place.Ignored || !a.sent {
+		return
+	}
+	route := a.run.req.Route.Name
+	r.versions.Judge(a.server, route, route+" "+a.model, o != place.Fine, a.unit())
+}
+
+// unit is the time that a piece of the answer took; 0 if the answer was not read to its end.
+func (a *attempt) unit() time.Duration {
+	if !a.whole {
+		return 0
+	}
+	return time.Since(a.began) / time.Duration(1+a.events)
+}
+
+// mayRepeat reports whether another attempt may follow one that reached its server or not.
+func (u *run) mayRepeat(ctx context.Context, sent bool) bool {
+	if ctx.Err() != nil || u.tries >= maxTries {
+		return false
+	}
+	if !sent {
+		return true
+	}
+	if u.attempts >= u.req.Route.MaxAttempts || !u.router.budget(u.req.Service).Spend() {
+		return false
+	}
+	u.router.counts.repeats.Add(1)
+	return true
+}
+
+// retryPause is when a caller whose request did not run may come back.
+const retryPause = 300 * time.Millisecond
+
+// refused is the error of a request that gets no further; it promises "not run" only if that is true.
+func (u *run) refused(kind fault.Kind, format string, args ...any) error {
+	e := fault.New(kind, "send it again later", format, args...).WithRetryAfter(retryPause)
+	if u.mayHaveRun {
+		return e.WithOutcome(fault.Unknown)
+	}
+	return e.WithOutcome(fault.NotRun)
+}
+
+// failure turns the last failed attempt into the request's error.
+func (u *run) failure(ctx context.Context, f *Failure) error {
+	kind := fault.BadGateway
+	if ctx.Err() != nil || f.Reason == TimedOut {
+		kind = fault.TooLate
+	}
+	e := fault.As(u.refused(kind, "no backend server gave a whole answer"))
+	return e.WithCause(f)
+}
+
+// outcomeOf is what an attempt without an answer says of its server.
+func outcomeOf(ctx context.Context, f *Failure) place.Outcome {
+	if f.Reason == Cancelled || ctx.Err() != nil && f.Reason == TimedOut {
+		return place.Ignored
+	}
+	return place.Broken
+}
+
+// Dump shows the counts and the servers' load.
+func (r *Router) Dump() any {
+	c := &r.counts
+	return struct {
+		Requests  int64 `json:"requests"`
+		Attempts  int64 `json:"attempts"`
+		Repeats   int64 `json:"repeats"`
+		Escalated int64 `json:"escalated"`
+		Resumed   int64 `json:"resumed"`
+		InFlight  int64 `json:"inFlight"`
+		Servers   any   `json:"servers"`
+	}{
+		c.requests.Load(), c.attempts.Load(), c.repeats.Load(), c.escalated.Load(), c.resumed.Load(),
+		c.inFlight.Load(), r.chooser.Dump(),
+	}
+}
