--- a/cmd/pollencourse/entry.go
+++ b/cmd/pollencourse/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 
@@ -11,6 +12,7 @@
 
 	"github.com/pollencourse/pollencourse/internal/app/entry"
 	"github.com/pollencourse/pollencourse/internal/core/event"
+	"github.com/pollencourse/pollencourse/internal/core/settings"
 	"github.com/pollencourse/pollencourse/platform"
 )
 
@@ -44,5 +46,26 @@
 	if err != nil {
 		return err
 	}
+	go reload(ctx, cfg, log)
 	return d.Run(ctx)
 }
+
+// reload reads the settings again on SIGHUP; addresses and identity take a restart, so a change is only told.
+func reload(ctx context.Context, cfg *settings.Entry, log *event.Log) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		now, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+		if err != nil {
+			log.Emit(event.ReloadFailed, "error", err.Error())
+			continue
+		}
+		log.Emit(event.Reloaded, "changed", !reflect.DeepEqual(cfg, now))
+	}
+}
--- a/internal/core/event/catalogue.go
+++ b/internal/core/event/catalogue.go
@@ -19,6 +19,9 @@
 	DaemonSuperseded = Event{103, "daemonSuperseded", log.ErrorLevel, "a newer incarnation has this daemon's ID; this one stops", "check that no two VMs share an ID"}
 	ServiceFailed    = Event{104, "serviceFailed", log.ErrorLevel, "a service ended with an error", "read the error; the daemon stops"}
 
+	Reloaded     = Event{105, "reloaded", log.InfoLevel, "the settings were read again", "restart the daemon if they changed"}
+	ReloadFailed = Event{106, "reloadFailed", log.WarnLevel, "the settings can't be read; those of the start stay in force", "correct the file and send SIGHUP"}
+
 	StoreUnavailable  = Event{200, "storeUnavailable", log.WarnLevel, "the store does not answer", "check the platform; charges are held and non-idempotent work is refused until it returns"}
 	StoreReturned     = Event{201, "storeReturned", log.InfoLevel, "the store answers again", "none"}
 	StoreWentBack     = Event{202, "storeWentBack", log.ErrorLevel, "the store answered with an older version than was seen", "check the platform for a restored backup; the newer version stays in force"}
@@ -76,7 +79,7 @@
 
 // Catalogue lists every event by number.
 var Catalogue = []Event{
-	DaemonStarted, DaemonStopping, DaemonStopped, DaemonSuperseded, ServiceFailed,
+	DaemonStarted, DaemonStopping, DaemonStopped, DaemonSuperseded, ServiceFailed, Reloaded, ReloadFailed,
 	StoreUnavailable, StoreReturned, StoreWentBack, StoreBudgetSpent, StoreHistoryGone, VMListUnavailable,
 	ConfigInForce, ConfigRefused, ConfigMissing, ConfigStale,
 	ServerEntry, ServerGone, ServerEntryUnreadable,
--- a/internal/edge/ingress/server.go
+++ b/internal/edge/ingress/server.go
@@ -200,7 +200,7 @@
 	if left == nil || req.Route.Kind != routing.Streaming {
 		return nil
 	}
-	if time.Since(*left) < settled(s.cfg.Lifetime) {
+	if time.Since(*left) < lastStream {
 		return nil
 	}
 	return fault.New(fault.Unavailable, "use another entry VM", "this daemon is leaving").WithRetryAfter(leavingPause)
