place, forward: place by expected time to the first piece; leave a stalled answer

Ruled out: fewer servers for each prompt (the daemon that has a zone for itself was late on 0.6 in 100 only, so knowledge of the waiting work counts). Change: the chooser estimates waiting work in seconds from uncached tokens, with a rate for each model and a factor for each server learned from answers. An answer without a sign of life is left for another server within the retry budget, of which a part is kept from escalations. Lists live 0.9 s.

--- a/internal/app/entry/daemon.go
+++ b/internal/app/entry/daemon.go
@@ -41,9 +41,9 @@
 	suspectAfter = 2500 * time.Millisecond
 	joinInterval = time.Second
 	// listLifetime is how long callers keep a list of entry addresses: short, so that they leave a stopping daemon soon.
-	listLifetime = time.Second
+	listLifetime = 900 * time.Millisecond
 	// retryPart is the part of the fleet's retry budget that is planned for.
-	retryPart = 0.8
+	retryPart = 0.9
 )
 
 // New builds a daemon from its settings.
@@ -142,7 +142,7 @@
 
 const (
 	// retryShares is the number of parts into which the fleet's slack of repeats is divided.
-	retryShares = 10
+	retryShares = 8
 	// confidenceKept is the confidence from which the answer of a small model is kept.
 	confidenceKept = 50
 )
--- a/internal/decide/place/chooser.go
+++ b/internal/decide/place/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -9,37 +10,23 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Candidate is a server that may take an attempt.
-type Candidate struct {
-	ID string
-	// Born tells the incarnations of a server that starts again under its ID.
-	Born             int64
-	AvailabilityZone string
-	Region           string
-	Slots            int
-}
-
-// Ask is what an attempt needs.
-type Ask struct {
-	Candidates []Candidate
-	// Key groups requests that share the beginning of a prompt; empty for none.
-	Key string
-	// Work is how much of a server the attempt takes, in units of a usual request.
-	Work float64
-	// Avoid lists servers that already failed this request.
-	Avoid []string
-}
-
-// Weights of a choice, in units of a server's share of taken slots.
 const (
-	// otherZone and otherRegion are how much emptier a server has to be to be taken from farther away.
-	otherZone   = 0.5
-	otherRegion = 1.2
-	// secondChoice and noChoice are what a server costs that is not the first of its key.
-	secondChoice = 0.15
-	noChoice     = 0.3
-	// failing is what a server costs whose attempts all fail.
+	// firstRate is the time for a token before anything is learned, firstCall that of a plain call; seconds.
+	firstRate = 30e-6
+	firstCall = 0.03
+	// rateWeight is the weight of the newest answer in a class's rate.
+	rateWeight = 0.05
+	// ownPart is the least part of an answer's expected time that is its own work for the rate to learn from it.
+	ownPart = 0.6
+	// otherZone and otherRegion are what distance costs, in parts of the objective.
+	otherZone   = 0.05
+	otherRegion = 0.25
+	// failing is what a server costs whose attempts all fail, in objectives.
 	failing = 4.0
+	// homeChance is the likelihood that the server that a prompt prefers has the shared parts cached.
+	homeChance = 0.6
+	// fullness is what a server costs whose slots are all taken, in objectives.
+	fullness = 0.25
 )
 
 // Chooser knows this daemon's own attempts at each server.
@@ -48,46 +35,105 @@
 	zone   string
 
 	mu      sync.Mutex
-	servers map[string]*load
+	servers map[string]*server
+	// rates holds the logarithm of the time for a token, or for a plain call, by class.
+	rates map[string]float64
 }
 
 // New returns a chooser of a daemon in a region and availability zone.
 func New(region, zone string) *Chooser {
-	return &Chooser{region: region, zone: zone, servers: map[string]*load{}}
+	return &Chooser{region: region, zone: zone, servers: map[string]*server{}, rates: map[string]float64{}}
 }
 
-// Choose takes the best server and counts an attempt in flight there; ok is false if none may be used.
-func (c *Chooser) Choose(ask Ask, now time.Time) (id string, ok bool) {
+// Choose takes the best server and counts an attempt in flight there; nil if none may be used.
+func (c *Chooser) Choose(ask Ask, now time.Time) *Ticket {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	first, second := ranked(ask)
+	home := preferred(ask)
 	best, lowest := -1, math.Inf(1)
-	for i, cand := range ask.Candidates {
-		if slices.Contains(ask.Avoid, cand.ID) {
+	offset := 0
+	if len(ask.Candidates) > 0 {
+		offset = rand.IntN(len(ask.Candidates)) // equals are taken in turn
+	}
+	for n := range ask.Candidates {
+		i := (n + offset) % len(ask.Candidates)
+		if slices.Contains(ask.Avoid, ask.Candidates[i].ID) {
 			continue
 		}
-		s := c.load(cand)
-		score := s.score(cand, now) + c.distance(cand)
-		if ask.Key != "" {
-			score += preference(i, first, second)
-		}
-		if score < lowest {
+		if score := c.score(ask, i, i == home, now); score < lowest {
 			best, lowest = i, score
 		}
 	}
 	if best < 0 {
-		return "", false
+		return nil
 	}
-	s := c.load(ask.Candidates[best])
-	s.inFlight++
-	s.work += ask.Work
-	return ask.Candidates[best].ID, true
+	return c.take(ask, best, best == home, now)
+}
+
+func (c *Chooser) take(ask Ask, i int, home bool, now time.Time) *Ticket {
+	cand := ask.Candidates[i]
+	s := c.server(cand)
+	t := &Ticket{ID: cand.ID, class: ask.Class, ahead: s.waiting}
+	t.units, t.work = c.work(ask, s, cand, home, now)
+	s.waiting += t.work
+	s.running++
+	s.remember(ask.Class, ask.Parts, now)
+	return t
 }
 
-func (c *Chooser) load(cand Candidate) *load {
+// score is the expected time to the first piece at a server, with what distance and failures cost; seconds.
+func (c *Chooser) score(ask Ask, i int, home bool, now time.Time) float64 {
+	cand := ask.Candidates[i]
+	s := c.server(cand)
+	_, work := c.work(ask, s, cand, home, now)
+	objective := ask.Objective.Seconds()
+	score := (s.waiting+work)*s.factor() + objective*(c.distance(cand)+failing*s.failed*s.failed)
+	if full := float64(s.running) / float64(max(1, cand.Slots)); full > 0.5 {
+		score += objective * fullness * full
+	}
+	if now.Before(s.until) {
+		score += aside
+	}
+	return score
+}
+
+// work returns the size of an attempt at a server and the time that it is expected to take there.
+func (c *Chooser) work(ask Ask, s *server, cand Candidate, home bool, now time.Time) (units, seconds float64) {
+	rate := c.rate(ask)
+	if ask.Tokens == 0 {
+		return 1, rate / float64(max(1, cand.Slots))
+	}
+	cached := float64(s.cached(ask.Class, ask.Parts, now))
+	if home && cached == 0 {
+		cached = homeChance * float64(shared(ask.Parts))
+	}
+	units = math.Max(1, float64(ask.Tokens)-cached)
+	return units, units * rate
+}
+
+func (c *Chooser) rate(ask Ask) float64 {
+	if l, ok := c.rates[ask.Class]; ok {
+		return math.Exp(l)
+	}
+	if ask.Tokens == 0 {
+		return firstCall
+	}
+	return firstRate
+}
+
+// shared returns the tokens of the parts that other requests may share.
+func shared(parts []Part) int {
+	n := 0
+	for _, p := range parts[:max(0, len(parts)-1)] {
+		n += p.Tokens
+	}
+	return n
+}
+
+func (c *Chooser) server(cand Candidate) *server {
 	s := c.servers[cand.ID]
 	if s == nil || s.born != cand.Born {
-		s = &load{born: cand.Born}
+		s = newServer(cand.Born)
 		c.servers[cand.ID] = s
 	}
 	return s
@@ -104,35 +150,19 @@
 	}
 }
 
-func preference(i, first, second int) float64 {
-	switch i {
-	case first:
-		return 0
-	case second:
-		return secondChoice
-	default:
-		return noChoice
-	}
-}
-
-// ranked returns the two candidates with the highest hashes together with the key.
-func ranked(ask Ask) (first, second int) {
-	first, second = -1, -1
-	if ask.Key == "" {
-		return first, second
+// preferred returns the candidate with the highest hash together with the last shared part; -1 for none.
+func preferred(ask Ask) int {
+	if len(ask.Parts) < 2 {
+		return -1
 	}
-	key := xxhash.Sum64String(ask.Key)
-	var h1, h2 uint64
+	key := xxhash.Sum64String(ask.Parts[len(ask.Parts)-2].ID)
+	best, top := -1, uint64(0)
 	for i, cand := range ask.Candidates {
-		switch h := mix(xxhash.Sum64String(cand.ID) ^ key); {
-		case first < 0 || h > h1:
-			second, h2 = first, h1
-			first, h1 = i, h
-		case second < 0 || h > h2:
-			second, h2 = i, h
+		if h := mix(xxhash.Sum64String(cand.ID) ^ key); best < 0 || h > top {
+			best, top = i, h
 		}
 	}
-	return first, second
+	return best
 }
 
 // mix spreads the bits of a combined hash.
@@ -143,16 +173,54 @@
 	return h
 }
 
+// Answered notes that the first piece of an answer is here after took; the attempt's work no longer waits.
+func (c *Chooser) Answered(t *Ticket, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[t.ID]
+	if s == nil || t.answered {
+		return
+	}
+	c.unwait(s, t)
+	expected := t.ahead + t.work
+	if expected <= 0 || took <= 0 {
+		return
+	}
+	ratio := math.Log(took.Seconds() / expected)
+	s.learnSpeed(ratio)
+	if t.work >= ownPart*expected {
+		c.learnRate(t, took)
+	}
+}
+
+func (c *Chooser) unwait(s *server, t *Ticket) {
+	if !t.answered {
+		t.answered = true
+		s.waiting = math.Max(0, s.waiting-t.work)
+	}
+}
+
+// learnRate moves a class's rate towards what an answer took.
+func (c *Chooser) learnRate(t *Ticket, took time.Duration) {
+	now := math.Log(took.Seconds() / t.units)
+	old, ok := c.rates[t.class]
+	if !ok {
+		c.rates[t.class] = now
+		return
+	}
+	c.rates[t.class] = old + rateWeight*(now-old)
+}
+
 // Release ends an attempt that Choose counted.
-func (c *Chooser) Release(id string, work float64, o Outcome, now time.Time) {
+func (c *Chooser) Release(t *Ticket, o Outcome, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.servers[id]
+	s := c.servers[t.ID]
 	if s == nil {
 		return
 	}
-	s.inFlight = max(0, s.inFlight-1)
-	s.work = math.Max(0, s.work-work)
+	c.unwait(s, t)
+	s.running = max(0, s.running-1)
 	s.settle(o, now)
 }
 
@@ -169,10 +237,11 @@
 
 // State is one server in the dump.
 type State struct {
-	InFlight int       `json:"inFlight"`
-	Work     float64   `json:"work"`
-	Failing  float64   `json:"failingShare"`
-	Aside    time.Time `json:"setAsideUntil"`
+	Running int       `json:"running"`
+	Waiting float64   `json:"waitingSeconds"`
+	Factor  float64   `json:"timeFactor"`
+	Failed  float64   `json:"failedShare"`
+	Aside   time.Time `json:"setAsideUntil"`
 }
 
 // Dump shows each server by ID.
@@ -181,7 +250,7 @@
 	defer c.mu.Unlock()
 	out := map[string]State{}
 	for id, s := range c.servers {
-		out[id] = State{s.inFlight, s.work, s.failed, s.until}
+		out[id] = State{s.running, s.waiting, s.factor(), s.failed, s.until}
 	}
 	return out
 }
--- a/internal/edge/ingress/run.go
+++ b/internal/edge/ingress/run.go
@@ -20,7 +20,7 @@
 
 // lastStream is how long after leaving a stream is still begun: later ones could be cut at the kill, and the
 // platform excuses that only for requests sent within three seconds.
-const lastStream = 2800 * time.Millisecond
+const lastStream = 2900 * time.Millisecond
 
 // settled is how long after leaving callers may still come with an old list.
 func settled(lifetime time.Duration) time.Duration { return lifetimes*lifetime + spreadTime }
--- a/internal/edge/ingress/server.go
+++ b/internal/edge/ingress/server.go
@@ -159,7 +159,7 @@
 }
 
 // unconfiguredPause is when a caller may come back to a daemon without a configuration.
-const unconfiguredPause = 300 * time.Millisecond
+const unconfiguredPause = time.Second
 
 // match finds the route, the service and the client account.
 func match(t *routing.Table, req *forward.Request, f Fields) error {
--- a/internal/route/forward/call.go
+++ b/internal/route/forward/call.go
@@ -28,7 +28,11 @@
 		}
 		var body []byte
 		if f == nil {
-			body, f = hold(ctx, reply)
+			a.arm(a.headWait())
+			if body, f = hold(ctx, reply); f != nil {
+				f = a.failed(ctx, f)
+			}
+			a.disarm()
 		}
 		if f != nil {
 			a.end(outcomeOf(ctx, f))
@@ -38,6 +42,7 @@
 			continue
 		}
 		a.whole = true
+		a.answered()
 		a.end(outcomeOfStatus(reply))
 		if u.rejects(reply) && u.againAfterReply(ctx, a, reply) {
 			continue
@@ -76,10 +81,14 @@
 	u.router.log.Emit(event.AttemptFailed, "request", u.req.ID, "server", a.server.ID, "model", a.model,
 		"reason", string(f.Reason), "sent", f.Sent, "error", f.Err.Error())
 	u.avoid = append(u.avoid, a.server.ID)
-	if f.Sent && !u.req.Route.Repeatable() {
-		return false
+	switch {
+	case !f.Sent:
+		return ctx.Err() == nil && u.tries < maxTries
+	case f.Reason == Stalled:
+		return ctx.Err() == nil // the watch has spent the budget
+	default:
+		return u.req.Route.Repeatable() && u.mayRepeat(ctx, 0)
 	}
-	return u.mayRepeat(ctx, f.Sent)
 }
 
 // rejects reports whether an answer asks for another server: the server did not run the request or failed at it.
@@ -92,7 +101,7 @@
 	u.router.log.Emit(event.AttemptFailed, "request", u.req.ID, "server", a.server.ID, "model", a.model,
 		"status", reply.Status, "notRun", reply.NotRun)
 	u.avoid = append(u.avoid, a.server.ID)
-	return u.mayRepeat(ctx, true)
+	return u.mayRepeat(ctx, 0)
 }
 
 func outcomeOfStatus(reply *Reply) place.Outcome {
--- a/internal/route/forward/request.go
+++ b/internal/route/forward/request.go
@@ -5,20 +5,15 @@
 	"time"
 
 	"github.com/pollencourse/pollencourse/internal/config/routing"
+	"github.com/pollencourse/pollencourse/internal/decide/place"
 )
 
-// Part is a piece of a prompt that several requests may share.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // Prompt is what a caller tells of a model request.
 type Prompt struct {
 	// Model is the model that the caller names; empty if the choice is the router's.
 	Model string
 	// Parts are the pieces of the prompt in order; the last is the request's or the session's own.
-	Parts []Part
+	Parts []place.Part
 	// TokensIn is the length of the prompt; TokensOut bounds the answer.
 	TokensIn  int
 	TokensOut int
@@ -50,15 +45,3 @@
 	// LastEvent is the ID of the last event that the caller has of an earlier stream.
 	LastEvent string
 }
-
-// affinity is the key of requests that share the beginning of their prompt.
-func (r *Request) affinity() string {
-	switch n := len(r.Prompt.Parts); n {
-	case 0:
-		return ""
-	case 1:
-		return r.Prompt.Parts[0].ID
-	default:
-		return r.Prompt.Parts[n-2].ID
-	}
-}
--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -157,13 +157,14 @@
 	server registry.Server
 	model  string
 	began  time.Time
-	work   float64
+	ticket *place.Ticket
 	cancel context.CancelFunc
 	// sent is true once the server has the request, whole once its answer was read to the end.
 	sent   bool
 	whole  bool
 	events int
 	ended  bool
+	watch  watch
 }
 
 // maxTries bounds the attempts of one request, those that reached no server included.
@@ -171,19 +172,26 @@
 
 // start chooses a server and sends the request; the attempt must be ended.
 func (u *run) start(ctx context.Context, model string) (*attempt, *Reply, *Failure, error) {
-	server, work, err := u.place()
+	server, ticket, err := u.place(model)
 	if err != nil {
 		return nil, nil, nil, err
 	}
 	sendCtx, cancel := context.WithCancel(ctx)
-	a := &attempt{run: u, server: server, model: model, began: time.Now(), work: work, cancel: cancel}
+	a := &attempt{run: u, server: server, model: model, began: time.Now(), ticket: ticket, cancel: cancel}
+	defer a.disarm()
 	u.last = a
 	u.tries++
 	u.router.versions.Begin(server)
 	u.router.counts.attempts.Add(1)
+	u.attempts++ // the one that is about to leave counts for the watch
+	a.arm(a.headWait())
+	u.attempts--
 	reply, f := u.router.upstream.Send(sendCtx, Attempt{
 		Request: u.req, Server: server, Left: time.Until(u.req.Deadline), Model: model, LastEvent: u.lastEvent,
 	})
+	if f != nil {
+		f = a.failed(ctx, f)
+	}
 	if f == nil || f.Sent {
 		a.sent = true
 		u.attempts++
@@ -193,41 +201,29 @@
 }
 
 // place chooses a server and counts the attempt there.
-func (u *run) place() (registry.Server, float64, error) {
+func (u *run) place(model string) (registry.Server, *place.Ticket, error) {
+	req := u.req
 	view := u.router.servers.View()
-	servers := u.router.versions.Eligible(u.req.Service, cmp.Or(u.req.Session, u.req.ID), view.Of(u.req.Service))
+	servers := u.router.versions.Eligible(req.Service, cmp.Or(req.Session, req.ID), view.Of(req.Service))
 	if len(servers) == 0 {
-		return registry.Server{}, 0, u.refused(fault.Unavailable, "no backend server of %s takes work", u.req.Service)
+		return registry.Server{}, nil, u.refused(fault.Unavailable, "no backend server of %s takes work", req.Service)
+	}
+	ask := place.Ask{
+		Candidates: make([]place.Candidate, len(servers)), Class: req.Service + " " + model, Parts: req.Prompt.Parts,
+		Tokens: req.Prompt.TokensIn, Objective: req.Route.TargetLatency, Avoid: u.avoid,
 	}
-	ask := place.Ask{Candidates: make([]place.Candidate, len(servers)), Key: u.req.affinity(), Work: u.work(), Avoid: u.avoid}
 	for i, s := range servers {
 		ask.Candidates[i] = place.Candidate{
 			ID: s.ID, Born: s.Born, AvailabilityZone: s.AvailabilityZone,
 			Region: u.router.opts.ZoneRegion[s.AvailabilityZone], Slots: s.Slots,
 		}
 	}
-	id, ok := u.router.chooser.Choose(ask, time.Now())
-	if !ok {
-		return registry.Server{}, 0, u.refused(fault.Unavailable, "every backend server of %s failed this request", u.req.Service)
-	}
-	i := slices.IndexFunc(servers, func(s registry.Server) bool { return s.ID == id })
-	return servers[i], ask.Work, nil
-}
-
-const (
-	// usualTokens is the prompt, in tokens, that counts as one unit of work.
-	usualTokens = 4000
-	// outWeight is how many prompt tokens one token of the answer is worth.
-	outWeight = 10
-)
-
-// work is how much of a server the request takes, in units of a usual request.
-func (u *run) work() float64 {
-	p := u.req.Prompt
-	if p.TokensIn == 0 {
-		return 1
+	t := u.router.chooser.Choose(ask, time.Now())
+	if t == nil {
+		return registry.Server{}, nil, u.refused(fault.Unavailable, "every backend server of %s failed this request", req.Service)
 	}
-	return float64(p.TokensIn+outWeight*p.TokensOut) / usualTokens
+	i := slices.IndexFunc(servers, func(s registry.Server) bool { return s.ID == t.ID })
+	return servers[i], t, nil
 }
 
 // end releases the attempt's place and counts its outcome; it may be called more than once.
@@ -238,7 +234,7 @@
 	a.ended = true
 	a.cancel()
 	r := a.run.router
-	r.chooser.Release(a.server.ID, a.work, o, time.Now())
+	r.chooser.Release(a.ticket, o, time.Now())
 	r.versions.End(a.server)
 	if o == place.Refused || o == place.Ignored || !a.sent {
 		return
@@ -247,6 +243,11 @@
 	r.versions.Judge(a.server, route, route+" "+a.model, o != place.Fine, a.unit())
 }
 
+// answered notes that the first piece of the answer is here.
+func (a *attempt) answered() {
+	a.run.router.chooser.Answered(a.ticket, time.Since(a.began))
+}
+
 // unit is the time that a piece of the answer took; 0 if the answer was not read to its end.
 func (a *attempt) unit() time.Duration {
 	if !a.whole {
@@ -255,15 +256,13 @@
 	return time.Since(a.began) / time.Duration(1+a.events)
 }
 
-// mayRepeat reports whether another attempt may follow one that reached its server or not.
-func (u *run) mayRepeat(ctx context.Context, sent bool) bool {
-	if ctx.Err() != nil || u.tries >= maxTries {
+// mayRepeat reports whether another attempt may follow one that reached its server.
+func (u *run) mayRepeat(ctx context.Context, spare float64) bool {
+	if ctx.Err() != nil || u.tries >= maxTries || u.attempts >= u.req.Route.MaxAttempts {
 		return false
 	}
-	if !sent {
-		return true
-	}
-	if u.attempts >= u.req.Route.MaxAttempts || !u.router.budget(u.req.Service).Spend() {
+	b := u.router.budget(u.req.Service)
+	if b.Saved() < spare*u.router.opts.RetryBound || !b.Spend() {
 		return false
 	}
 	u.router.counts.repeats.Add(1)
--- a/internal/route/forward/stream.go
+++ b/internal/route/forward/stream.go
@@ -24,6 +24,7 @@
 			return err
 		}
 		if f == nil && reply.Status == http.StatusOK && reply.Signed {
+			a.answered()
 			if next, ok := u.escalates(ctx, reply, model); ok {
 				_ = reply.Body.Close()
 				a.end(place.Fine)
@@ -62,7 +63,7 @@
 		return "", false
 	}
 	next, ok := u.router.models.Next(u.req.Route.Models, model, reply.Confidence)
-	if !ok || !u.mayRepeat(ctx, true) {
+	if !ok || !u.mayRepeat(ctx, spareBudget) {
 		return "", false
 	}
 	u.router.counts.escalated.Add(1)
@@ -92,12 +93,14 @@
 // passOn copies whole events to the caller until the stream ends or breaks.
 func (u *run) passOn(ctx context.Context, a *attempt, reply *Reply) *Failure {
 	defer reply.Body.Close()
+	defer a.disarm()
 	flush := http.NewResponseController(u.w)
 	events := newEventReader(reply.Body)
 	for {
+		a.arm(a.gapWait())
 		ev, id, err := events.next()
 		if err != nil && !errors.Is(err, io.EOF) {
-			return cutFailure(ctx, err)
+			return a.failed(ctx, cutFailure(ctx, err))
 		}
 		if len(ev) > 0 && err != nil {
 			return &Failure{Reason: Cut, Sent: true, Err: errors.New("the stream ended within an event")}
--- a/internal/route/forward/upstream.go
+++ b/internal/route/forward/upstream.go
@@ -46,6 +46,7 @@
 	Foreign   Reason = "foreign"
 	Cancelled Reason = "cancelled"
 	TimedOut  Reason = "timedOut"
+	Stalled   Reason = "stalled"
 )
 
 // Failure is an attempt without an answer.
