mirror, ingress: fewer store calls; a starting daemon waits for its configuration

Ruled out: a later Retry-After alone, because callers come back once only. Change: a request waits an eighth of its time, two seconds at most, for the first configuration. Daemons are listed only by one that knows no other and, rarely, by the first of a zone. Changes of servers are gathered for 350 ms; during an outage one mirror probes and wakes the others. A stalled answer is left only if its server answered later attempts meanwhile.

--- a/internal/app/entry/daemon.go
+++ b/internal/app/entry/daemon.go
@@ -90,14 +90,24 @@
 	d.kernel.Add("servers", servers)
 	trials := trial.New(d.id, gossip, members, store, platform.DecodeRollout, d.cfg.Bounds.ExposureShare, d.log)
 	d.kernel.Add("trials", trials)
-	d.follow(store, platform.KindConfig, share)
-	d.follow(store, platform.KindServers, servers)
-	d.follow(store, platform.KindRollouts, trials)
+	health := mirror.NewHealth()
+	d.follow(store, platform.KindConfig, share, health, mirror.Options{LongestPause: probePause})
+	d.follow(store, platform.KindServers, servers, health, mirror.Options{Gather: gatherServers, LongestPause: idlePause})
+	d.follow(store, platform.KindRollouts, trials, health, mirror.Options{LongestPause: idlePause})
 	d.buildEdges(ls, tables, members, d.buildRouter(servers, trials))
 }
 
-func (d *Daemon) follow(store *platform.Store, kind string, sink mirror.Sink) {
-	d.kernel.Add("mirror of "+kind, mirror.New(store, kind, sink, d.log))
+const (
+	// probePause is the longest time between calls of the one mirror that looks for the store's return, idlePause
+	// that of the others, which it wakes.
+	probePause = 400 * time.Millisecond
+	idlePause  = 3 * time.Second
+	// gatherServers collects the entries of servers that start together; a leaving one may get work for seconds.
+	gatherServers = 350 * time.Millisecond
+)
+
+func (d *Daemon) follow(store *platform.Store, kind string, sink mirror.Sink, health *mirror.Health, opts mirror.Options) {
+	d.kernel.Add("mirror of "+kind, mirror.New(store, kind, sink, health, opts, d.log))
 }
 
 func (d *Daemon) buildFleet(listener net.Listener, store *platform.Store) (*relay.Gossip, *member.Service, *peer.Hub) {
@@ -111,15 +121,16 @@
 	}, d.log, func() {})
 	gossip := relay.New(hub, heartbeat)
 	daemons := platform.NewDaemons(store)
-	members := member.New(self, gossip, hub, daemons, member.Options{
+	list := &loneList{daemons: daemons, self: c.ID}
+	members := member.New(self, gossip, hub, list, member.Options{
 		CallerAddress: c.CallerAddress, SuspectAfter: suspectAfter, ListInterval: joinInterval,
 		WatchersPerAZ: 1, Seeds: c.Seeds, Superseded: func() {},
 	}, d.log)
+	list.live = members.Live
 	gossip.SetOverlay(members)
 	d.kernel.Add("peers", hub)
 	d.kernel.Add("relay", gossip)
 	d.kernel.Add("members", members)
-	d.follow(store, platform.KindDaemons, daemons)
 	d.kernel.Add("registration", &registration{
 		daemons: daemons, vm: c.ID, log: d.log,
 		entry: vmlist.VM{ID: d.id, Region: c.Region, AvailabilityZone: c.AvailabilityZone, PeerAddress: c.PeerAddress},
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -48,17 +48,26 @@
 
 const (
 	// watchWait is how long one call waits for a change; the platform takes 30 s at most.
-	watchWait = 10 * time.Second
-	// firstPause and longestPause bound the time between calls while the store does not answer.
-	firstPause   = 150 * time.Millisecond
-	longestPause = 900 * time.Millisecond
+	watchWait = 20 * time.Second
+	// firstPause is the shortest time between calls while the store does not answer.
+	firstPause = 150 * time.Millisecond
 )
 
+// Options sets the pace of a mirror.
+type Options struct {
+	// Gather is how long changes are collected before the next call, so that many changes cost few calls.
+	Gather time.Duration
+	// LongestPause is the longest time between calls while the store does not answer.
+	LongestPause time.Duration
+}
+
 // Mirror follows one kind.
 type Mirror struct {
 	source Source
 	kind   string
 	sink   Sink
+	health *Health
+	opts   Options
 	log    *event.Log
 
 	mu       sync.Mutex
@@ -68,24 +77,21 @@
 	lists    int64
 }
 
-// New returns a mirror of a kind.
-func New(source Source, kind string, sink Sink, log *event.Log) *Mirror {
-	return &Mirror{source: source, kind: kind, sink: sink, log: log}
+// New returns a mirror of a kind; mirrors of one store share its health.
+func New(source Source, kind string, sink Sink, health *Health, opts Options, log *event.Log) *Mirror {
+	return &Mirror{source: source, kind: kind, sink: sink, health: health, opts: opts, log: log}
 }
 
 // Run follows the kind until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
+	pause.InitialInterval, pause.MaxInterval = firstPause, m.opts.LongestPause
 	for ctx.Err() == nil {
 		err := m.follow(ctx, pause.Reset)
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause.NextBackOff()):
-		}
+		m.health.Wait(ctx, pause.NextBackOff())
 	}
 	return nil
 }
@@ -115,6 +121,9 @@
 		}
 		at = max(at, next)
 		m.at(at)
+		if len(changes) > 0 {
+			rest(ctx, m.opts.Gather)
+		}
 	}
 }
 
@@ -131,6 +140,7 @@
 		return false
 	}
 	m.mu.Lock()
+	m.health.Note(err == nil)
 	was := m.failing
 	m.failing = err != nil
 	if err == nil {
--- a/internal/config/routing/holder.go
+++ b/internal/config/routing/holder.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,13 +14,15 @@
 	log     *event.Log
 	current atomic.Pointer[Table]
 
+	first chan struct{}
+
 	mu      sync.Mutex
 	since   time.Time
 	changed []func(*Table)
 }
 
 // NewHolder returns a holder without a table.
-func NewHolder(log *event.Log) *Holder { return &Holder{log: log} }
+func NewHolder(log *event.Log) *Holder { return &Holder{log: log, first: make(chan struct{})} }
 
 // OnChange calls fn after each change of the table in force.
 func (h *Holder) OnChange(fn func(*Table)) {
@@ -31,6 +34,15 @@
 // Current returns the table in force, or nil before the first one.
 func (h *Holder) Current() *Table { return h.current.Load() }
 
+// Await returns the first table, or nil if ctx ends before.
+func (h *Holder) Await(ctx context.Context) *Table {
+	select {
+	case <-h.first:
+	case <-ctx.Done():
+	}
+	return h.Current()
+}
+
 // Offer puts a table in force if its revision is higher; source says where it came from.
 func (h *Holder) Offer(t *Table, source string) bool {
 	h.mu.Lock()
@@ -38,7 +50,9 @@
 		h.mu.Unlock()
 		return false
 	}
-	h.current.Store(t)
+	if h.current.Swap(t) == nil {
+		close(h.first)
+	}
 	h.since = time.Now()
 	fns := h.changed
 	h.mu.Unlock()
--- a/internal/decide/place/ask.go
+++ b/internal/decide/place/ask.go
@@ -43,6 +43,9 @@
 	// units is the size of the attempt: tokens to read, or 1 for a plain call.
 	units    float64
 	answered bool
+	// order is the place among the attempts at the server, overtaken counts later ones that were answered before.
+	order     int64
+	overtaken int
 }
 
 // Expected is the time to the first piece of the answer that was expected when the server was chosen.
--- a/internal/decide/place/chooser.go
+++ b/internal/decide/place/chooser.go
@@ -77,6 +77,9 @@
 	t.units, t.work = c.work(ask, s, cand, home, now)
 	s.waiting += t.work
 	s.running++
+	s.sent++
+	t.order = s.sent
+	s.unanswered[t] = struct{}{}
 	s.remember(ask.Class, ask.Parts, now)
 	return t
 }
@@ -182,6 +185,11 @@
 		return
 	}
 	c.unwait(s, t)
+	for w := range s.unanswered {
+		if w.order < t.order {
+			w.overtaken++
+		}
+	}
 	expected := t.ahead + t.work
 	if expected <= 0 || took <= 0 {
 		return
@@ -196,6 +204,7 @@
 func (c *Chooser) unwait(s *server, t *Ticket) {
 	if !t.answered {
 		t.answered = true
+		delete(s.unanswered, t)
 		s.waiting = math.Max(0, s.waiting-t.work)
 	}
 }
@@ -224,6 +233,25 @@
 	s.settle(o, now)
 }
 
+// Overtaken returns how many later attempts at the server were answered before this one.
+func (c *Chooser) Overtaken(t *Ticket) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return t.overtaken
+}
+
+// Piece counts a piece of an answer and returns how many came from the attempt's server by now.
+func (c *Chooser) Piece(t *Ticket, n int64) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[t.ID]
+	if s == nil {
+		return 0
+	}
+	s.pieces += n
+	return s.pieces
+}
+
 // Retain forgets the servers that keep does not name.
 func (c *Chooser) Retain(keep func(id string) bool) {
 	c.mu.Lock()
--- a/internal/decide/place/server.go
+++ b/internal/decide/place/server.go
@@ -29,6 +29,11 @@
 	waiting float64
 	// running counts the attempts in flight.
 	running int
+	// sent counts all attempts; unanswered holds those without a piece of an answer.
+	sent       int64
+	unanswered map[*Ticket]struct{}
+	// pieces counts the pieces of answers that came from here.
+	pieces int64
 	// slow is the logarithm of how many times longer than expected answers take here.
 	slow float64
 	// failed is the smoothed share of attempts that failed.
@@ -39,7 +44,9 @@
 	parts map[string]time.Time
 }
 
-func newServer(born int64) *server { return &server{born: born, parts: map[string]time.Time{}} }
+func newServer(born int64) *server {
+	return &server{born: born, parts: map[string]time.Time{}, unanswered: map[*Ticket]struct{}{}}
+}
 
 // factor is how much longer than expected an attempt takes here.
 func (s *server) factor() float64 { return math.Exp(s.slow) }
--- a/internal/edge/ingress/server.go
+++ b/internal/edge/ingress/server.go
@@ -48,6 +48,8 @@
 // Tables holds the configuration in force.
 type Tables interface {
 	Current() *routing.Table
+	// Await returns the first configuration, or nil if ctx ends before.
+	Await(ctx context.Context) *routing.Table
 }
 
 // Config is what the server is built from.
@@ -132,14 +134,14 @@
 
 // read matches the route and the account and reads the body; the request is not nil once its ID is known.
 func (s *Server) read(w http.ResponseWriter, r *http.Request, arrived time.Time) (*forward.Request, error) {
-	t := s.cfg.Tables.Current()
-	if t == nil {
-		return nil, fault.New(fault.Unavailable, "use another entry VM", "this daemon has no configuration yet").WithRetryAfter(unconfiguredPause)
-	}
 	f, err := s.cfg.Codec.Decode(r.Header)
 	if err != nil {
 		return nil, err
 	}
+	t := s.table(r.Context(), f.Left)
+	if t == nil {
+		return nil, fault.New(fault.Unavailable, "use another entry VM", "this daemon has no configuration yet").WithRetryAfter(unconfiguredPause)
+	}
 	req := &forward.Request{
 		ID: f.RequestID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: f.Pass, Revision: t.Revision,
 		Arrived: arrived, Prompt: f.Prompt, Session: f.Session, LastEvent: f.LastEvent,
@@ -158,6 +160,23 @@
 	return req, err
 }
 
+const (
+	// waitPart is the part of a caller's time that may pass until a daemon that has just started is configured.
+	waitPart = 8
+	// longestWait bounds that time.
+	longestWait = 2 * time.Second
+)
+
+// table returns the configuration in force; a daemon that has just started waits for it for a moment.
+func (s *Server) table(ctx context.Context, left time.Duration) *routing.Table {
+	if t := s.cfg.Tables.Current(); t != nil {
+		return t
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(left/waitPart, longestWait))
+	defer cancel()
+	return s.cfg.Tables.Await(ctx)
+}
+
 // unconfiguredPause is when a caller may come back to a daemon without a configuration.
 const unconfiguredPause = time.Second
 
--- a/internal/route/forward/stream.go
+++ b/internal/route/forward/stream.go
@@ -115,7 +115,7 @@
 			a.end(place.Fine)
 			return nil
 		}
-		a.events++
+		a.piece()
 		if id != "" {
 			u.lastEvent = id
 		}
