--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -163,6 +163,7 @@
 	sent   bool
 	whole  bool
 	events int
+	first  time.Duration
 	ended  bool
 	watch  watch
 }
@@ -239,21 +240,31 @@
 	if o == place.Refused || o == place.Ignored || !a.sent {
 		return
 	}
-	route := a.run.req.Route.Name
-	r.versions.Judge(a.server, route, route+" "+a.model, o != place.Fine, a.unit())
+	class, unit := a.pace()
+	r.versions.Judge(a.server, a.run.req.Route.Name, class, o != place.Fine, unit)
 }
 
 // answered notes that the first piece of the answer is here.
 func (a *attempt) answered() {
-	a.run.router.chooser.Answered(a.ticket, time.Since(a.began))
+	a.first = time.Since(a.began)
+	a.run.router.chooser.Answered(a.ticket, a.first)
 }
 
-// unit is the time that a piece of the answer took; 0 if the answer was not read to its end.
-func (a *attempt) unit() time.Duration {
-	if !a.whole {
-		return 0
+// paceEvents is the number of events from which the time between them is compared.
+const paceEvents = 4
+
+// pace returns the time that a piece of the answer took and what it is compared with; 0 if the answer was not
+// read to its end.
+func (a *attempt) pace() (class string, unit time.Duration) {
+	class = a.run.req.Route.Name + " " + a.model
+	switch {
+	case !a.whole:
+		return class, 0
+	case a.events >= paceEvents:
+		return class, (time.Since(a.began) - a.first) / time.Duration(a.events-1)
+	default:
+		return class + " first", a.first
 	}
-	return time.Since(a.began) / time.Duration(1+a.events)
 }
 
 // mayRepeat reports whether another attempt may follow one that reached its server.
