replica: one reader a zone shares the store with the others

Ruled out: longer gathering alone (a third of the calls, later news). Change: the first live daemon of each zone reads the store and passes objects on as records ordered by the store's revisions, with beacons that carry a digest. Configurations are pulled from the own zone. A daemon is ready once configuration, servers and roll-outs are there, from the store or from peers.

--- a/internal/app/entry/configpull.go
+++ b/internal/app/entry/configpull.go
@@ -19,47 +19,69 @@
 			return nil
 		case <-s.wake:
 		}
-		for s.behind() && ctx.Err() == nil {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-time.After(pullAfter):
-			}
-			if s.behind() {
-				s.pull(ctx)
-			}
+		for ctx.Err() == nil && s.behind("") {
+			s.catchUp(ctx)
 		}
 	}
 }
 
-// behind reports whether a peer has a newer configuration than this daemon.
-func (s *configShare) behind() bool {
-	r, ok := s.gossip.Fleet().Get(revisionKey)
-	t := s.tables.Current()
-	return ok && (t == nil || t.Revision < r.Version)
-}
-
-// pull asks the daemon that published the newest configuration, else the connected peers in turn.
-func (s *configShare) pull(ctx context.Context) {
-	r, _ := s.gossip.Fleet().Get(revisionKey)
-	holders := s.hub.Connected()
-	if id, address, ok := strings.Cut(string(r.Body), "\n"); ok {
-		holders = append([]peer.Node{{ID: id, PeerAddress: address}}, holders...)
-	}
-	for _, n := range holders {
-		if !s.behind() || ctx.Err() != nil {
+// catchUp pulls from the own availability zone at once, where bytes cost nothing, and else after a while.
+func (s *configShare) catchUp(ctx context.Context) {
+	own := revisionPrefix + s.hub.Self().AvailabilityZone
+	if s.behind(own) {
+		s.pull(ctx, s.holder(own))
+		if !s.behind("") {
 			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
-		var got peerpb.Push
-		err := s.hub.Call(callCtx, n, servicePull, &peerpb.PullRequest{}, &got)
-		cancel()
-		if err != nil {
-			s.log.Emit(event.PeerLost, "peer", n.ID, "error", err.Error())
-			continue
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(pullAfter):
+	}
+	for _, rec := range s.gossip.Fleet().Prefix(revisionPrefix) {
+		if s.behind(rec.Key) {
+			s.pull(ctx, s.holder(rec.Key))
 		}
-		for _, rec := range got.GetRecords() {
-			s.take(mirror.Object{Name: rec.GetKey(), Revision: rec.GetVersion(), Spec: rec.GetBody()}, "peer "+n.ID)
+	}
+	for _, n := range s.hub.Connected() {
+		if s.behind("") {
+			s.pull(ctx, n)
 		}
 	}
 }
+
+// behind reports whether a peer has a newer configuration than this daemon; key names one record, or all if empty.
+func (s *configShare) behind(key string) bool {
+	t := s.tables.Current()
+	for _, r := range s.gossip.Fleet().Prefix(revisionPrefix) {
+		if (key == "" || key == r.Key) && (t == nil || t.Revision < r.Version) {
+			return true
+		}
+	}
+	return false
+}
+
+// holder is the daemon that a record names.
+func (s *configShare) holder(key string) peer.Node {
+	r, _ := s.gossip.Fleet().Get(key)
+	id, address, _ := strings.Cut(string(r.Body), "\n")
+	return peer.Node{ID: id, PeerAddress: address}
+}
+
+// pull asks one daemon for its configuration.
+func (s *configShare) pull(ctx context.Context, n peer.Node) {
+	if n.ID == s.hub.Self().ID {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	var got peerpb.Push
+	if err := s.hub.Call(ctx, n, servicePull, &peerpb.PullRequest{}, &got); err != nil {
+		s.log.Emit(event.PeerLost, "peer", n.ID, "error", err.Error())
+		return
+	}
+	for _, rec := range got.GetRecords() {
+		s.take(mirror.Object{Name: rec.GetKey(), Revision: rec.GetVersion(), Spec: rec.GetBody()}, "peer "+n.ID)
+	}
+}
--- a/internal/app/entry/configshare.go
+++ b/internal/app/entry/configshare.go
@@ -17,11 +17,13 @@
 )
 
 const (
-	// revisionKey is the fleet table's record of the newest configuration; its body names a daemon that holds it.
-	revisionKey = "routing"
-	servicePull = "routing.pull"
-	// pullAfter is how long the store has to deliver a configuration that a peer already has.
-	pullAfter   = 700 * time.Millisecond
+	// revisionPrefix begins the fleet table's records of the newest configuration in each availability zone; their
+	// bodies name a daemon that holds it.
+	revisionPrefix = "routing/"
+	servicePull    = "routing.pull"
+	// pullAfter is how long the store, or a daemon of the own availability zone, has to deliver a configuration
+	// that a daemon farther away already has.
+	pullAfter   = 600 * time.Millisecond
 	pullTimeout = time.Second
 )
 
@@ -40,7 +42,7 @@
 func newConfigShare(tables *routing.Holder, gossip *relay.Gossip, hub *peer.Hub, log *event.Log) *configShare {
 	s := &configShare{tables: tables, gossip: gossip, hub: hub, log: log, wake: make(chan struct{}, 1)}
 	hub.Handle(servicePull, s.handlePull)
-	gossip.Fleet().Subscribe(revisionKey, func(relay.Record) {
+	gossip.Fleet().Subscribe(revisionPrefix, func(relay.Record) {
 		select {
 		case s.wake <- struct{}{}:
 		default:
@@ -50,7 +52,7 @@
 }
 
 // Replace takes the stored configuration.
-func (s *configShare) Replace(objects []mirror.Object, _ bool) {
+func (s *configShare) Replace(objects []mirror.Object, _ int64, _ bool) {
 	for _, o := range objects {
 		s.take(o, "store")
 	}
@@ -63,6 +65,9 @@
 	}
 }
 
+// Reading needs no action: whether the store delivers is judged by revisions.
+func (s *configShare) Reading(bool) {}
+
 // take puts a configuration in force if it is newer, and tells the peers.
 func (s *configShare) take(o mirror.Object, source string) {
 	if o.Name != platform.ConfigName {
@@ -79,7 +84,10 @@
 	s.mu.Lock()
 	s.newest = o
 	s.mu.Unlock()
-	s.gossip.Publish(relay.Record{Key: revisionKey, Version: t.Revision, Body: []byte(s.hub.Self().ID + "\n" + s.hub.Self().PeerAddress)})
+	self := s.hub.Self()
+	s.gossip.Publish(relay.Record{
+		Key: revisionPrefix + self.AvailabilityZone, Version: t.Revision, Body: []byte(self.ID + "\n" + self.PeerAddress),
+	})
 }
 
 // handlePull gives a peer the configuration in force.
--- a/internal/app/entry/daemon.go
+++ b/internal/app/entry/daemon.go
@@ -10,6 +10,7 @@
 
 	"github.com/pollencourse/pollencourse/internal/back/registry"
 	"github.com/pollencourse/pollencourse/internal/config/mirror"
+	"github.com/pollencourse/pollencourse/internal/config/replica"
 	"github.com/pollencourse/pollencourse/internal/config/routing"
 	"github.com/pollencourse/pollencourse/internal/core/event"
 	"github.com/pollencourse/pollencourse/internal/core/kernel"
@@ -93,11 +94,16 @@
 	d.kernel.Add("servers", servers)
 	trials := trial.New(d.id, gossip, members, store, platform.DecodeRollout, d.cfg.Bounds.ExposureShare, d.log)
 	d.kernel.Add("trials", trials)
+	shared := replica.New(d.id, gossip, func() bool { return members.Rank() < readersPerZone }, d.log)
+	d.kernel.Add("replica", shared)
 	health := mirror.NewHealth()
-	d.follow(store, platform.KindConfig, share, health, mirror.Options{LongestPause: probePause})
-	d.follow(store, platform.KindServers, servers, health, mirror.Options{Gather: gatherServers, LongestPause: idlePause})
-	d.follow(store, platform.KindRollouts, trials, health, mirror.Options{LongestPause: idlePause})
-	d.buildEdges(ls, tables, members, d.buildRouter(servers, trials))
+	follow := func(kind string, sink mirror.Sink, opts mirror.Options) {
+		d.kernel.Add("mirror of "+kind, mirror.New(store, kind, sink, shared, health, opts, d.log))
+	}
+	follow(platform.KindConfig, share, mirror.Options{LongestPause: probePause})
+	follow(platform.KindServers, shared.Follow(platform.KindServers, servers), mirror.Options{Gather: gatherServers, LongestPause: idlePause})
+	follow(platform.KindRollouts, shared.Follow(platform.KindRollouts, trials), mirror.Options{LongestPause: idlePause})
+	d.buildEdges(ls, &started{tables, shared.Loaded()}, members, d.buildRouter(servers, trials))
 }
 
 const (
@@ -107,12 +113,10 @@
 	idlePause  = 3 * time.Second
 	// gatherServers collects the entries of servers that start together; a leaving one may get work for seconds.
 	gatherServers = 350 * time.Millisecond
+	// readersPerZone is how many daemons of an availability zone read the store for the others.
+	readersPerZone = 1
 )
 
-func (d *Daemon) follow(store *platform.Store, kind string, sink mirror.Sink, health *mirror.Health, opts mirror.Options) {
-	d.kernel.Add("mirror of "+kind, mirror.New(store, kind, sink, health, opts, d.log))
-}
-
 func (d *Daemon) buildFleet(listener net.Listener, store *platform.Store) (*relay.Gossip, *member.Service, *peer.Hub) {
 	c := d.cfg
 	self := peer.Node{
@@ -161,7 +165,7 @@
 	confidenceKept = 50
 )
 
-func (d *Daemon) buildEdges(ls listeners, tables *routing.Holder, members *member.Service, router *forward.Router) {
+func (d *Daemon) buildEdges(ls listeners, tables *started, members *member.Service, router *forward.Router) {
 	m := metrics.New(d.cfg.ID)
 	entries := &entries{members: members, region: d.cfg.Region, zone: d.cfg.AvailabilityZone}
 	front := ingress.New(ingress.Config{
@@ -170,7 +174,7 @@
 		Metrics: m.Scope, Log: d.log,
 	})
 	ready := func() bool { return tables.Current() != nil && !front.Leaving() }
-	tables.OnChange(func(*routing.Table) { members.SetReady(true) })
+	tables.whenReady(func() { members.SetReady(true) })
 	d.kernel.Add("callers", front)
 	d.kernel.Add("directory", newServer(ls.directory, platform.Directory(entries.near, listLifetime)))
 	d.kernel.Add("ready", newServer(ls.ready, platform.Ready(ready)))
--- a/internal/back/registry/registry.go
+++ b/internal/back/registry/registry.go
@@ -58,9 +58,7 @@
 
 	mu      sync.Mutex
 	records map[string]*record
-	// restless is the time until which a deletion may be a lapse during an outage.
-	restless time.Time
-	changed  []func(*View)
+	changed []func(*View)
 }
 
 // New returns an empty registry; decode reads one entry.
@@ -80,33 +78,12 @@
 // View returns the servers known now.
 func (r *Registry) View() *View { return r.view.Load() }
 
-// Replace takes a whole list of entries.
-func (r *Registry) Replace(objects []mirror.Object, afterOutage bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	if afterOutage {
-		r.restless = now.Add(returnGrace)
-	}
-	present := map[string]bool{}
-	for _, o := range objects {
-		present[o.Name] = true
-		r.put(o)
-	}
-	for id := range r.records {
-		if !present[id] {
-			r.miss(id, now)
-		}
-	}
-	r.rebuild()
-}
-
 // Apply takes one change of an entry.
 func (r *Registry) Apply(c mirror.Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if c.Deleted {
-		r.miss(c.Object.Name, time.Now())
+		r.miss(c.Object.Name, c.Lapsed)
 	} else {
 		r.put(c.Object)
 	}
@@ -128,20 +105,20 @@
 	r.records[o.Name] = &record{server: s}
 }
 
-// miss notes that an entry is not there; it is dropped at once unless the store was away just before.
-func (r *Registry) miss(id string, now time.Time) {
+// miss notes that an entry is not there; one that lapsed while the store was away may come back.
+func (r *Registry) miss(id string, lapsed bool) {
 	rec := r.records[id]
 	if rec == nil {
 		return
 	}
-	if !now.Before(r.restless) {
+	if !lapsed {
 		r.log.Emit(event.ServerGone, "server", id, "service", rec.server.Service)
 		delete(r.records, id)
 		return
 	}
 	if rec.missing.IsZero() {
-		rec.missing = now
-		time.AfterFunc(r.restless.Sub(now), func() { r.expire(id) })
+		rec.missing = time.Now()
+		time.AfterFunc(returnGrace, func() { r.expire(id) })
 	}
 }
 
@@ -150,7 +127,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := r.records[id]
-	if rec == nil || rec.missing.IsZero() {
+	if rec == nil || rec.missing.IsZero() || time.Since(rec.missing) < returnGrace {
 		return
 	}
 	r.log.Emit(event.ServerGone, "server", id, "service", rec.server.Service, "missingForMs", time.Since(rec.missing).Milliseconds())
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -28,6 +28,8 @@
 type Change struct {
 	Object  Object
 	Deleted bool
+	// Lapsed is true for a deletion that was seen right after the store was away; the object may come back.
+	Lapsed bool
 }
 
 // Source reads one kind of objects.
@@ -40,10 +42,18 @@
 
 // Sink takes what the store holds.
 type Sink interface {
-	// Replace takes the whole state; after an outage, entries may be missing for a while.
-	Replace(objects []Object, afterOutage bool)
+	// Replace takes the whole state at a revision; after an outage, entries may be missing for a while.
+	Replace(objects []Object, at int64, afterOutage bool)
 	// Apply takes one change.
 	Apply(c Change)
+	// Reading tells that the mirror is no longer in touch with the store.
+	Reading(ok bool)
+}
+
+// Gate tells when a mirror has to read the store.
+type Gate interface {
+	Active() bool
+	Wait(ctx context.Context)
 }
 
 const (
@@ -66,6 +76,7 @@
 	source Source
 	kind   string
 	sink   Sink
+	gate   Gate
 	health *Health
 	opts   Options
 	log    *event.Log
@@ -78,8 +89,8 @@
 }
 
 // New returns a mirror of a kind; mirrors of one store share its health.
-func New(source Source, kind string, sink Sink, health *Health, opts Options, log *event.Log) *Mirror {
-	return &Mirror{source: source, kind: kind, sink: sink, health: health, opts: opts, log: log}
+func New(source Source, kind string, sink Sink, gate Gate, health *Health, opts Options, log *event.Log) *Mirror {
+	return &Mirror{source: source, kind: kind, sink: sink, gate: gate, health: health, opts: opts, log: log}
 }
 
 // Run follows the kind until ctx ends.
@@ -87,7 +98,9 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = firstPause, m.opts.LongestPause
 	for ctx.Err() == nil {
+		m.gate.Wait(ctx)
 		err := m.follow(ctx, pause.Reset)
+		m.sink.Reading(false)
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
@@ -96,17 +109,17 @@
 	return nil
 }
 
-// follow lists and then watches until a call fails or the history is gone.
+// follow lists and then watches until a call fails, the history is gone or the gate is closed.
 func (m *Mirror) follow(ctx context.Context, answered func()) error {
 	objects, at, err := m.source.List(ctx, m.kind)
 	if err != nil {
 		m.note(ctx, err)
 		return err
 	}
-	m.sink.Replace(objects, m.note(ctx, nil))
+	m.sink.Replace(objects, at, m.note(ctx, nil))
 	m.at(at)
 	answered()
-	for {
+	for m.gate.Active() {
 		changes, next, err := m.source.Watch(ctx, m.kind, at, watchWait)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
@@ -125,6 +138,7 @@
 			rest(ctx, m.opts.Gather)
 		}
 	}
+	return nil
 }
 
 func (m *Mirror) at(revision int64) {
