replica: read the store when a configuration is late from the peers

The daemon asked holders that did not answer, a second each, in turn. Ruled out: a lost gossip record (others of the zone had the revision). Stand-ins of the store know daemons by address of their own: the test of a silent store had silenced nobody. A request without a session may use the other version if all servers of its own failed it.

--- a/internal/app/entry/configshare.go
+++ b/internal/app/entry/configshare.go
@@ -37,12 +37,15 @@
 
 	mu     sync.Mutex
 	newest mirror.Object
+	// behindSince is when a peer was first known to have a newer configuration; zero while none has.
+	behindSince time.Time
 }
 
 func newConfigShare(tables *routing.Holder, gossip *relay.Gossip, hub *peer.Hub, log *event.Log) *configShare {
 	s := &configShare{tables: tables, gossip: gossip, hub: hub, log: log, wake: make(chan struct{}, 1)}
 	hub.Handle(servicePull, s.handlePull)
 	gossip.Fleet().Subscribe(revisionPrefix, func(relay.Record) {
+		s.noteBehind()
 		select {
 		case s.wake <- struct{}{}:
 		default:
@@ -84,12 +87,33 @@
 	s.mu.Lock()
 	s.newest = o
 	s.mu.Unlock()
+	s.noteBehind()
 	self := s.hub.Self()
 	s.gossip.Publish(relay.Record{
 		Key: revisionPrefix + self.AvailabilityZone, Version: t.Revision, Body: []byte(self.ID + "\n" + self.PeerAddress),
 	})
 }
 
+// noteBehind keeps the time since which this daemon is behind a peer.
+func (s *configShare) noteBehind() {
+	behind := s.behind("")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !behind:
+		s.behindSince = time.Time{}
+	case s.behindSince.IsZero():
+		s.behindSince = time.Now()
+	}
+}
+
+// lagging reports whether the peers do not deliver either, so that the store has to be asked.
+func (s *configShare) lagging() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.behindSince.IsZero() && time.Since(s.behindSince) > pullAfter
+}
+
 // handlePull gives a peer the configuration in force.
 func (s *configShare) handlePull(context.Context, peer.Node, []byte) (proto.Message, error) {
 	s.mu.Lock()
--- a/internal/app/entry/daemon.go
+++ b/internal/app/entry/daemon.go
@@ -94,7 +94,8 @@
 	d.kernel.Add("servers", servers)
 	trials := trial.New(d.id, gossip, members, store, platform.DecodeRollout, d.cfg.Bounds.ExposureShare, d.log)
 	d.kernel.Add("trials", trials)
-	shared := replica.New(d.id, gossip, func() bool { return members.Rank() < readersPerZone }, d.log)
+	shared := replica.New(d.id, gossip, func() bool { return reads(members) }, share.lagging, d.log)
+	tables.OnChange(func(t *routing.Table) { shared.Count("configuration", t.Revision) })
 	d.kernel.Add("replica", shared)
 	health := mirror.NewHealth()
 	follow := func(kind string, sink mirror.Sink, opts mirror.Options) {
@@ -113,10 +114,19 @@
 	idlePause  = 3 * time.Second
 	// gatherServers collects the entries of servers that start together; a leaving one may get work for seconds.
 	gatherServers = 350 * time.Millisecond
-	// readersPerZone is how many daemons of an availability zone read the store for the others.
-	readersPerZone = 1
+	// leastReaders is how many daemons of the fleet read the store for the others at least; each zone has one.
+	leastReaders = 2
 )
 
+// reads reports whether this daemon reads the store for the others.
+func reads(members *member.Service) bool {
+	zones := map[string]bool{}
+	for _, m := range members.Live() {
+		zones[m.AvailabilityZone] = true
+	}
+	return members.Rank() < (leastReaders+len(zones)-1)/max(1, len(zones))
+}
+
 func (d *Daemon) buildFleet(listener net.Listener, store *platform.Store) (*relay.Gossip, *member.Service, *peer.Hub) {
 	c := d.cfg
 	self := peer.Node{
--- a/internal/app/entry/daemon_test.go
+++ b/internal/app/entry/daemon_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,7 +17,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencourse/pollencourse/internal/core/event"
+	"github.com/pollencourse/pollencourse/internal/core/kernel"
 	"github.com/pollencourse/pollencourse/internal/core/settings"
+	"github.com/pollencourse/pollencourse/internal/fleet/member"
+	"github.com/pollencourse/pollencourse/internal/fleet/relay"
 )
 
 // hosts gives each daemon of a test an address of its own on the loopback network.
@@ -29,6 +33,7 @@
 
 // process is one daemon that runs in the test.
 type process struct {
+	*Daemon
 	cfg  *settings.Entry
 	stop context.CancelFunc
 	done chan error
@@ -40,19 +45,19 @@
 	cfg := &settings.Entry{
 		ID: name, Region: "r", AvailabilityZone: "a", ZoneRegion: map[string]string{"a": "r"},
 		CallerAddress: host + ":8001", ReadyAddress: host + ":8002", PeerAddress: host + ":8003", DirectoryAddress: host + ":8004",
-		MetricsAddress: host + ":8005", Seeds: seeds, StoreAddress: store.address,
+		MetricsAddress: host + ":8005", Seeds: seeds, StoreAddress: store.addressFor(t, name),
 		Bounds: settings.Bounds{Grace: 8 * time.Second, RetryRatio: 0.9, RetrySlack: 50, ExposureShare: 0.15},
 	}
 	d, err := New(cfg, event.Discard())
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
-	p := &process{cfg: cfg, stop: stop, done: make(chan error, 1)}
+	p := &process{Daemon: d, cfg: cfg, stop: stop, done: make(chan error, 1)}
 	go func() { p.done <- d.Run(ctx) }()
 	t.Cleanup(stop)
 	return p
 }
 
-func (p *process) ready() bool {
+func (p *process) isReady() bool {
 	resp, err := http.Get("http://" + p.cfg.ReadyAddress + "/ready")
 	if err != nil {
 		return false
@@ -63,7 +68,7 @@
 
 func (p *process) awaitReady(t *testing.T) {
 	t.Helper()
-	require.Eventually(t, p.ready, settle, lookEach)
+	require.Eventually(t, p.isReady, settle, lookEach)
 }
 
 // addresses asks the daemon's directory.
@@ -210,7 +215,7 @@
 func TestAConfigurationComesFromAPeerWhenTheStoreIsSilent(t *testing.T) {
 	store, _, ps := site(t, 1, 2)
 	require.Eventually(t, func() bool { return len(ps[1].addresses(t)) == 2 }, settle, lookEach)
-	store.silence(strings.Split(ps[1].cfg.CallerAddress, ":")[0], true)
+	store.silence("d1", true)
 	time.Sleep(200 * time.Millisecond)
 	putConfig(store, 2, "fresh")
 	began := time.Now()
@@ -225,7 +230,7 @@
 	store.put("servers", s.id, s.entry("s", "ready", 1))
 	p := startDaemon(t, store, "d")
 	time.Sleep(300 * time.Millisecond)
-	require.False(t, p.ready())
+	require.False(t, p.isReady())
 	code, body := p.send(t, "/u/x", "early")
 	require.Equal(t, http.StatusServiceUnavailable, code)
 	require.Contains(t, body, "notRun")
@@ -260,3 +265,32 @@
 	require.Equal(t, []string{ps[1].cfg.CallerAddress}, ps[1].addresses(t))
 	require.NoError(t, <-ps[0].done)
 }
+
+// TestAConfigurationWhoseHolderIsGoneIsReadFromTheStore is scale-2 of karamu-quotes with seed 307614900988: the reader
+// of a zone lost power right after it had told of a configuration, and the others waited for it in vain.
+func TestAConfigurationWhoseHolderIsGoneIsReadFromTheStore(t *testing.T) {
+	store, _, ps := site(t, 1, 3)
+	for _, p := range ps {
+		require.Eventually(t, func() bool { return len(p.addresses(t)) == 3 }, settle, lookEach)
+	}
+	// All but the last are kept from the store, so that they can't bring the configuration; the last is no reader.
+	last := slices.IndexFunc(ps, func(p *process) bool {
+		m, err := kernel.Lookup[*member.Service](p.kernel, "members")
+		require.NoError(t, err)
+		return m.Rank() == 2
+	})
+	time.Sleep(time.Second) // each daemon reads the store until it knows the others
+	require.Eventually(t, func() bool { return store.watches(ps[last].cfg.ID) == 0 }, settle, lookEach)
+	for i, p := range ps {
+		if i != last {
+			store.silence(p.cfg.ID, true)
+		}
+	}
+	putConfig(store, 2, "fresh")
+	gossip, err := kernel.Lookup[*relay.Gossip](ps[last].kernel, "relay")
+	require.NoError(t, err)
+	began := time.Now()
+	gossip.Publish(relay.Record{Key: revisionPrefix + "a", Version: 2, Body: []byte("gone\n127.0.0.1:1")})
+	require.Eventually(t, func() bool { code, _ := ps[last].send(t, "/fresh/x", "f"); return code == 200 }, settle, lookEach)
+	require.Less(t, time.Since(began), 3*time.Second, "the platform allows three seconds")
+}
--- a/internal/app/entry/standin_test.go
+++ b/internal/app/entry/standin_test.go
@@ -24,9 +24,10 @@
 	objects map[string]map[string]map[string]any
 	events  []storeEvent
 	changed chan struct{}
-	// silentTo holds the addresses of daemons that get no answer.
+	// silentTo holds the daemons that get no answer.
 	silentTo map[string]bool
-	address  string
+	// waiting counts the watches that wait, by daemon.
+	waiting map[string]int
 }
 
 type storeEvent struct {
@@ -38,14 +39,21 @@
 
 func newStore(t *testing.T) *storeStandin {
 	t.Helper()
-	s := &storeStandin{objects: map[string]map[string]map[string]any{}, changed: make(chan struct{}), silentTo: map[string]bool{}}
+	s := &storeStandin{objects: map[string]map[string]map[string]any{}, changed: make(chan struct{}), silentTo: map[string]bool{}, waiting: map[string]int{}}
+	return s
+}
+
+// addressFor returns an address of the store for one daemon, by which its calls are known.
+func (s *storeStandin) addressFor(t *testing.T, daemon string) string {
+	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	s.address = l.Addr().String()
-	srv := &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
+	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.serve(daemon, w, r)
+	})}
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
-	return s
+	return l.Addr().String()
 }
 
 func (s *storeStandin) put(kind, name string, spec any) {
@@ -86,24 +94,39 @@
 	}
 }
 
-func (s *storeStandin) silence(host string, silent bool) {
+func (s *storeStandin) silence(daemon string, silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.silentTo[host] = silent
+	s.silentTo[daemon] = silent
 }
 
-func (s *storeStandin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+func (s *storeStandin) wait(daemon string, n int) {
 	s.mu.Lock()
-	silent := s.silentTo[host]
-	s.mu.Unlock()
-	if silent {
+	defer s.mu.Unlock()
+	s.waiting[daemon] += n
+}
+
+// watches returns the number of watches of a daemon that wait.
+func (s *storeStandin) watches(daemon string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting[daemon]
+}
+
+func (s *storeStandin) isSilent(daemon string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silentTo[daemon]
+}
+
+func (s *storeStandin) serve(daemon string, w http.ResponseWriter, r *http.Request) {
+	if s.isSilent(daemon) {
 		<-r.Context().Done()
 		return
 	}
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	if r.Method == http.MethodGet {
-		s.read(w, r, parts[0])
+		s.read(daemon, w, r, parts[0])
 		return
 	}
 	var body struct {
@@ -134,7 +157,7 @@
 	}
 }
 
-func (s *storeStandin) read(w http.ResponseWriter, r *http.Request, kind string) {
+func (s *storeStandin) read(daemon string, w http.ResponseWriter, r *http.Request, kind string) {
 	q := r.URL.Query()
 	if !q.Has("watch") {
 		s.mu.Lock()
@@ -150,8 +173,14 @@
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
+	s.wait(daemon, 1)
+	defer s.wait(daemon, -1)
 	for {
 		events, at, changed := s.since(kind, from)
+		if s.isSilent(daemon) {
+			<-r.Context().Done()
+			return
+		}
 		if len(events) > 0 || ctx.Err() != nil {
 			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "at": at})
 			return
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -57,8 +57,9 @@
 }
 
 const (
-	// watchWait is how long one call waits for a change; the platform takes 30 s at most.
-	watchWait = 20 * time.Second
+	// watchWait is how long one call waits for a change; the platform takes 30 s at most, and a store that has fallen
+	// silent shows only at the end of a call.
+	watchWait = 6 * time.Second
 	// firstPause is the shortest time between calls while the store does not answer.
 	firstPause = 150 * time.Millisecond
 )
--- a/internal/config/replica/replica.go
+++ b/internal/config/replica/replica.go
@@ -47,7 +47,12 @@
 	self   string
 	gossip Gossip
 	chosen func() bool
-	log    *event.Log
+	// lagging reports whether something that is shared otherwise is late.
+	lagging func() bool
+	log     *event.Log
+
+	// order is held while a change is handed on, so that targets see the changes of an object in their order.
+	order sync.Mutex
 
 	mu      sync.Mutex
 	targets map[string]Target
@@ -55,6 +60,8 @@
 	// digest is the exclusive or over the hashes of all records.
 	digest uint64
 	hashes map[string]uint64
+	// versions holds the newest version of each record that was handed on.
+	versions map[string]int64
 	// heard is when a beacon came, agreed when one with this daemon's digest did.
 	heard, agreed time.Time
 	beacon        uint64
@@ -64,11 +71,12 @@
 	reading    bool
 }
 
-// New returns an empty replica; chosen reports whether this daemon reads the store for others.
-func New(self string, gossip Gossip, chosen func() bool, log *event.Log) *Replica {
+// New returns an empty replica; chosen reports whether this daemon reads the store for others, lagging whether what
+// is shared by other means than records is late.
+func New(self string, gossip Gossip, chosen, lagging func() bool, log *event.Log) *Replica {
 	r := &Replica{
-		self: self, gossip: gossip, chosen: chosen, log: log, targets: map[string]Target{}, listed: map[string]bool{},
-		hashes: map[string]uint64{}, loaded: make(chan struct{}),
+		self: self, gossip: gossip, chosen: chosen, lagging: lagging, log: log, targets: map[string]Target{}, listed: map[string]bool{},
+		hashes: map[string]uint64{}, versions: map[string]int64{}, loaded: make(chan struct{}),
 	}
 	gossip.MarkFrequent(beaconPrefix)
 	gossip.Fleet().Subscribe(objectPrefix, r.applied)
@@ -85,7 +93,8 @@
 	return &reader{r, kind}
 }
 
-// applied passes a record that is new here on to its target.
+// applied passes a record that is new here on to its target. The table calls it without its lock, so that an
+// older record of an object may come after a newer one.
 func (r *Replica) applied(rec relay.Record) {
 	kind, name, ok := strings.Cut(strings.TrimPrefix(rec.Key, objectPrefix), "/")
 	var o peerpb.StoredObject
@@ -93,11 +102,12 @@
 		r.log.Emit(event.PeerMessageWrong, "record", rec.Key)
 		return
 	}
+	r.order.Lock()
+	defer r.order.Unlock()
+	if !r.count(rec) {
+		return
+	}
 	r.mu.Lock()
-	h := hash(rec)
-	r.digest ^= r.hashes[rec.Key] ^ h
-	r.hashes[rec.Key] = h
-	r.note(time.Now())
 	target := r.targets[kind]
 	r.mu.Unlock()
 	if target == nil {
@@ -109,6 +119,26 @@
 	})
 }
 
+// count takes a record into the digest and reports whether it is newer than what was there.
+func (r *Replica) count(rec relay.Record) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.versions[rec.Key] >= rec.Version {
+		return false
+	}
+	r.versions[rec.Key] = rec.Version
+	h := hash(rec)
+	r.digest ^= r.hashes[rec.Key] ^ h
+	r.hashes[rec.Key] = h
+	r.note(time.Now())
+	return true
+}
+
+// Count has the digest cover something that is shared by other means, by its name and revision.
+func (r *Replica) Count(name string, revision int64) {
+	r.count(relay.Record{Key: name, Version: revision})
+}
+
 func hash(rec relay.Record) uint64 {
 	var version [8]byte
 	binary.LittleEndian.PutUint64(version[:], uint64(rec.Version))
@@ -154,7 +184,7 @@
 
 // Active reports whether this daemon has to read the store itself.
 func (r *Replica) Active() bool {
-	chosen := r.chosen()
+	chosen := r.chosen() || r.lagging()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
--- /dev/null
+++ b/internal/config/replica/replica_test.go
@@ -0,0 +1,257 @@
+package replica
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pollencourse/pollencourse/internal/config/mirror"
+	"github.com/pollencourse/pollencourse/internal/core/event"
+	"github.com/pollencourse/pollencourse/internal/fleet/relay"
+)
+
+func inTime() bool { return false }
+
+// mesh passes records between daemons at once, unless it is cut.
+type mesh struct {
+	mu     sync.Mutex
+	tables []*relay.Table
+	cut    bool
+}
+
+type node struct {
+	mesh  *mesh
+	table *relay.Table
+}
+
+func (m *mesh) node() node {
+	t := relay.NewTable("fleet")
+	m.tables = append(m.tables, t)
+	return node{m, t}
+}
+
+func (n node) Fleet() *relay.Table { return n.table }
+func (node) MarkFrequent(string)   {}
+func (n node) Publish(records ...relay.Record) {
+	n.table.Apply(records...)
+	n.mesh.mu.Lock()
+	defer n.mesh.mu.Unlock()
+	if n.mesh.cut {
+		return
+	}
+	for _, t := range n.mesh.tables {
+		if t != n.table {
+			t.Apply(records...)
+		}
+	}
+}
+
+func (n node) PublishOwn(key string, m proto.Message) error {
+	body, err := proto.Marshal(m)
+	old, _ := n.table.Get(key)
+	n.Publish(relay.Record{Key: key, Version: old.Version + 1, Body: body})
+	return err
+}
+
+func (m *mesh) setCut(cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut = cut
+}
+
+// target holds what is present; lapsed names what may come back.
+type target struct {
+	mu     sync.Mutex
+	specs  map[string]string
+	lapsed map[string]bool
+}
+
+func newTarget() *target { return &target{specs: map[string]string{}, lapsed: map[string]bool{}} }
+
+func (g *target) Apply(c mirror.Change) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.Deleted {
+		delete(g.specs, c.Object.Name)
+		g.lapsed[c.Object.Name] = c.Lapsed
+		return
+	}
+	g.specs[c.Object.Name] = string(c.Object.Spec)
+}
+
+func obj(name string, revision int64, spec string) mirror.Object {
+	return mirror.Object{Name: name, Revision: revision, Spec: []byte(spec)}
+}
+
+// pair is a daemon that reads the store and one that does not.
+type pair struct {
+	mesh           *mesh
+	reader, other  *Replica
+	sink           mirror.Sink
+	target, mirror *target
+}
+
+func newPair() *pair {
+	p := &pair{mesh: &mesh{}, target: newTarget(), mirror: newTarget()}
+	p.reader = New("reader", p.mesh.node(), func() bool { return true }, inTime, event.Discard())
+	p.other = New("other", p.mesh.node(), func() bool { return false }, inTime, event.Discard())
+	p.sink = p.reader.Follow("kind", p.mirror)
+	p.other.Follow("kind", p.target)
+	return p
+}
+
+func play(t *testing.T, fn func(p *pair)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair()
+		ctx := t.Context()
+		go func() { _ = p.reader.Run(ctx) }()
+		go func() { _ = p.other.Run(ctx) }()
+		fn(p)
+	})
+}
+
+func TestObjectsReachDaemonsThatDoNotRead(t *testing.T) {
+	play(t, func(p *pair) {
+		p.sink.Replace([]mirror.Object{obj("a", 3, "x"), obj("b", 4, "y")}, 10, false)
+		p.sink.Apply(mirror.Change{Object: obj("a", 11, "z")})
+		p.sink.Apply(mirror.Change{Object: obj("b", 4, ""), Deleted: true})
+		require.Equal(t, map[string]string{"a": "z"}, p.target.specs)
+		require.Equal(t, p.mirror.specs, p.target.specs)
+		time.Sleep(time.Second)
+		require.False(t, p.other.Active())
+		select {
+		case <-p.other.Loaded():
+		default:
+			t.Fatal("a beacon with the same digest completes the replica")
+		}
+	})
+}
+
+func TestADaemonReadsForItselfWhenNoBeaconComes(t *testing.T) {
+	play(t, func(p *pair) {
+		p.sink.Replace(nil, 1, false)
+		time.Sleep(3 * time.Second)
+		require.False(t, p.other.Active())
+		p.mesh.setCut(true)
+		time.Sleep(2 * time.Second)
+		require.True(t, p.other.Active())
+		p.mesh.setCut(false)
+		time.Sleep(time.Second)
+		require.False(t, p.other.Active())
+	})
+}
+
+func TestADaemonReadsForItselfWhenARecordIsLost(t *testing.T) {
+	play(t, func(p *pair) {
+		p.sink.Replace(nil, 1, false)
+		time.Sleep(time.Second)
+		p.mesh.setCut(true)
+		p.sink.Apply(mirror.Change{Object: obj("a", 5, "x")})
+		p.mesh.setCut(false)
+		time.Sleep(2500 * time.Millisecond)
+		require.True(t, p.other.Active(), "the digests differ")
+		p.other.gossip.Publish(func() relay.Record { r, _ := p.reader.gossip.Fleet().Get("object/kind/a"); return r }())
+		time.Sleep(time.Second)
+		require.False(t, p.other.Active())
+	})
+}
+
+func TestAReaderThatLosesTheStoreSendsNoBeacons(t *testing.T) {
+	play(t, func(p *pair) {
+		p.sink.Replace(nil, 1, false)
+		time.Sleep(time.Second)
+		p.sink.Reading(false)
+		time.Sleep(2500 * time.Millisecond)
+		require.True(t, p.other.Active())
+	})
+}
+
+func TestAnOlderListDeletesNothingNewer(t *testing.T) {
+	play(t, func(p *pair) {
+		p.sink.Apply(mirror.Change{Object: obj("new", 20, "x")})
+		p.sink.Replace([]mirror.Object{obj("a", 3, "x")}, 10, false)
+		require.Contains(t, p.target.specs, "new")
+		p.sink.Replace([]mirror.Object{obj("a", 3, "x")}, 25, false)
+		require.NotContains(t, p.target.specs, "new")
+		require.False(t, p.target.lapsed["new"])
+		p.sink.Apply(mirror.Change{Object: obj("new", 30, "again")})
+		require.Equal(t, "again", p.target.specs["new"])
+	})
+}
+
+func TestWhatIsMissingAfterAnOutageMayComeBack(t *testing.T) {
+	play(t, func(p *pair) {
+		p.sink.Replace([]mirror.Object{obj("a", 3, "x"), obj("b", 4, "x")}, 10, false)
+		p.sink.Replace([]mirror.Object{obj("a", 3, "x")}, 15, true)
+		require.True(t, p.target.lapsed["b"])
+		p.sink.Apply(mirror.Change{Object: obj("a", 3, ""), Deleted: true})
+		require.True(t, p.target.lapsed["a"], "right after the return")
+		p.sink.Apply(mirror.Change{Object: obj("a", 17, "x")})
+		time.Sleep(3 * time.Second)
+		p.sink.Apply(mirror.Change{Object: obj("a", 17, ""), Deleted: true})
+		require.False(t, p.target.lapsed["a"])
+	})
+}
+
+func TestRecordsInAnyOrderGiveOneState(t *testing.T) {
+	m := &mesh{cut: true}
+	reader := New("reader", m.node(), func() bool { return true }, inTime, event.Discard())
+	sink := reader.Follow("kind", newTarget())
+	var records []relay.Record
+	for i := range 30 {
+		name := fmt.Sprint(i % 5)
+		sink.Apply(mirror.Change{Object: obj(name, int64(10+i), fmt.Sprint(i)), Deleted: i%7 == 3})
+		r, _ := reader.gossip.Fleet().Get("object/kind/" + name)
+		records = append(records, r)
+	}
+	want := newTarget()
+	last := New("last", m.node(), func() bool { return false }, inTime, event.Discard())
+	last.Follow("kind", want)
+	for _, r := range records {
+		last.gossip.Fleet().Apply(r)
+	}
+	got := newTarget()
+	back := New("back", m.node(), func() bool { return false }, inTime, event.Discard())
+	back.Follow("kind", got)
+	for i := range records {
+		back.gossip.Fleet().Apply(records[len(records)-1-i])
+	}
+	require.Equal(t, want.specs, got.specs)
+	require.Equal(t, last.digest, back.digest)
+	require.Equal(t, reader.digest, back.digest)
+}
+
+func TestAnOlderRecordThatIsHandedOnLateChangesNothing(t *testing.T) {
+	m := &mesh{cut: true}
+	r := New("r", m.node(), func() bool { return true }, inTime, event.Discard())
+	got := newTarget()
+	s := &reader{r, "kind"}
+	r.Follow("kind", got)
+	older := s.record(mirror.Change{Object: obj("a", 3, "old")})
+	newer := s.record(mirror.Change{Object: obj("a", 4, "new")})
+	r.applied(newer)
+	digest := r.digest
+	r.applied(older)
+	require.Equal(t, "new", got.specs["a"])
+	require.Equal(t, digest, r.digest)
+}
+
+func TestADaemonReadsForItselfWhenWhatIsSharedOtherwiseIsLate(t *testing.T) {
+	play(t, func(p *pair) {
+		p.sink.Replace(nil, 1, false)
+		time.Sleep(time.Second)
+		p.reader.Count("configuration", 7)
+		time.Sleep(2500 * time.Millisecond)
+		require.True(t, p.other.Active(), "the reader has another revision")
+		p.other.Count("configuration", 7)
+		require.False(t, p.other.Active())
+		p.other.lagging = func() bool { return true }
+		require.True(t, p.other.Active())
+	})
+}
--- a/internal/decide/balance/balancer.go
+++ b/internal/decide/balance/balancer.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/pollencourse/pollencourse/internal/decide/rendezvous"
 )
 
 // Target is a server that offers what is asked for.
@@ -142,23 +142,15 @@
 // preferred is the target with the highest hash together with the prefix.
 func preferred(ts []Target, prefix string) Target {
 	best, top := ts[0], uint64(0)
-	p := xxhash.Sum64String(prefix)
+	key := rendezvous.KeyOf(prefix)
 	for _, t := range ts {
-		if h := mix(xxhash.Sum64String(t.ID) ^ p); h >= top {
+		if h := key.Rank(t.ID); h >= top {
 			best, top = t, h
 		}
 	}
 	return best
 }
 
-// mix spreads the bits of a combined hash.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	return h
-}
-
 // Release ends an attempt that Acquire counted.
 func (b *Balancer) Release(t Target, o Outcome, rep Report, took time.Duration, now time.Time) {
 	b.mu.Lock()
--- a/internal/decide/place/chooser.go
+++ b/internal/decide/place/chooser.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/pollencourse/pollencourse/internal/decide/rendezvous"
 )
 
 const (
@@ -158,24 +158,16 @@
 	if len(ask.Parts) < 2 {
 		return -1
 	}
-	key := xxhash.Sum64String(ask.Parts[len(ask.Parts)-2].ID)
+	key := rendezvous.KeyOf(ask.Parts[len(ask.Parts)-2].ID)
 	best, top := -1, uint64(0)
 	for i, cand := range ask.Candidates {
-		if h := mix(xxhash.Sum64String(cand.ID) ^ key); best < 0 || h > top {
+		if h := key.Rank(cand.ID); best < 0 || h > top {
 			best, top = i, h
 		}
 	}
 	return best
 }
 
-// mix spreads the bits of a combined hash.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	return h
-}
-
 // Answered notes that the first piece of an answer is here after took; the attempt's work no longer waits.
 func (c *Chooser) Answered(t *Ticket, took time.Duration) {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/decide/rendezvous/hash.go
@@ -0,0 +1,20 @@
+package rendezvous
+
+import "github.com/cespare/xxhash/v2"
+
+// Key is a hashed key; it is computed once for all members.
+type Key uint64
+
+// KeyOf hashes a key.
+func KeyOf(key string) Key { return Key(xxhash.Sum64String(key)) }
+
+// Rank returns the rank of a member for the key; the highest is preferred.
+func (k Key) Rank(member string) uint64 { return mix(xxhash.Sum64String(member) ^ uint64(k)) }
+
+// mix spreads the bits of a combined hash.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return h
+}
--- a/internal/fleet/trial/service.go
+++ b/internal/fleet/trial/service.go
@@ -104,22 +104,26 @@
 	t.order = o
 }
 
-// Eligible returns the servers that may take a request; key names its session, or itself.
-func (s *Service) Eligible(service, key string, servers []registry.Server) []registry.Server {
+// Eligible returns the servers that may take a request, and those that may if all of them fail; key names the
+// request's session, or itself.
+func (s *Service) Eligible(service, key string, servers []registry.Server) (first, then []registry.Server) {
 	s.mu.Lock()
 	t := s.trials[service]
 	if t == nil {
 		s.mu.Unlock()
-		return servers
+		return servers, nil
 	}
 	target, fallback := t.chosen(key, s.first, time.Now())
 	version := t.order.Target
 	s.mu.Unlock()
-	out := ofVersion(servers, version, target)
-	if len(out) == 0 && fallback {
-		return servers
+	first = ofVersion(servers, version, target)
+	if fallback {
+		then = ofVersion(servers, version, !target)
 	}
-	return out
+	if len(first) == 0 {
+		return then, nil
+	}
+	return first, then
 }
 
 // chosen reports whether a request goes to the target, and whether it may go elsewhere if no server is there.
--- a/internal/fleet/trial/service_test.go
+++ b/internal/fleet/trial/service_test.go
@@ -141,13 +141,18 @@
 	both      = []registry.Server{oldServer, newServer}
 )
 
+func eligible(s *Service, key string, servers []registry.Server) []registry.Server {
+	first, _ := s.Eligible("s", key, servers)
+	return first
+}
+
 // requests sends n requests of new sessions through a daemon; bad says whether the target fails one.
 func requests(n int, bad func(i int) bool) func(s *Service) {
 	count := 0
 	return func(s *Service) {
 		for range n {
 			count++
-			srv := s.Eligible("s", fmt.Sprint("session", count), both)[0]
+			srv := eligible(s, fmt.Sprint("session", count), both)[0]
 			s.Begin(srv)
 			s.End(srv)
 			s.Judge(srv, "r", "r m", srv == newServer && bad(count), 10*time.Millisecond)
@@ -167,7 +172,7 @@
 		require.Equal(t, []State{Running}, f.states)
 		f.play(11*time.Second, requests(5, good))
 		require.Equal(t, []State{Running, Completed}, f.states)
-		require.Equal(t, []registry.Server{newServer}, f.services[0].Eligible("s", "x", both))
+		require.Equal(t, []registry.Server{newServer}, eligible(f.services[0], "x", both))
 	})
 }
 
@@ -178,8 +183,9 @@
 		f.play(12*time.Second, requests(3, func(i int) bool { return i%2 == 0 }))
 		require.Equal(t, RolledBack, f.states[len(f.states)-1])
 		for _, s := range f.services {
-			require.Equal(t, []registry.Server{oldServer}, s.Eligible("s", "x", both))
-			require.Empty(t, s.Eligible("s", "x", []registry.Server{newServer}), "better no server than a bad one")
+			require.Equal(t, []registry.Server{oldServer}, eligible(s, "x", both))
+			first, then := s.Eligible("s", "x", []registry.Server{newServer})
+			require.Empty(t, append(first, then...), "better no server than a bad one")
 		}
 	})
 }
@@ -192,7 +198,7 @@
 		f.play(12*time.Second, func(s *Service) {
 			for range 5 {
 				n++
-				srv := s.Eligible("s", fmt.Sprint(n), both)[0]
+				srv := eligible(s, fmt.Sprint(n), both)[0]
 				unit := 10 * time.Millisecond
 				if srv == newServer && n%2 == 0 {
 					unit *= 8
@@ -213,7 +219,7 @@
 			f.play(time.Second, nil)
 			for i := range 300 {
 				key := fmt.Sprint(i)
-				a, b := f.services[0].Eligible("s", key, both)[0], f.services[1].Eligible("s", key, both)[0]
+				a, b := eligible(f.services[0], key, both)[0], eligible(f.services[1], key, both)[0]
 				require.Equal(t, a, b)
 				if first[key] == "n" {
 					require.Equal(t, "n", a.ID, "a session does not go back")
@@ -276,6 +282,6 @@
 		f.order(Order{Service: "s", Target: "v2", Duration: time.Second, State: RolledBack, Revision: 3, Created: 3})
 		f.play(time.Second, requests(5, good))
 		require.Empty(t, f.table.Prefix(prefix))
-		require.Equal(t, []registry.Server{oldServer}, f.services[0].Eligible("s", "x", both))
+		require.Equal(t, []registry.Server{oldServer}, eligible(f.services[0], "x", both))
 	})
 }
--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -23,8 +23,9 @@
 
 // Versions says which servers of a service may take a request, and judges versions by their answers.
 type Versions interface {
-	// Eligible returns the servers that may take a request; key names its session, or itself.
-	Eligible(service, key string, servers []registry.Server) []registry.Server
+	// Eligible returns the servers that may take a request, and those that may if all of them fail; key names its
+	// session, or itself.
+	Eligible(service, key string, servers []registry.Server) (first, then []registry.Server)
 	Begin(s registry.Server)
 	End(s registry.Server)
 	// Judge counts an answer; unit is the time that a piece of it took, class what it is compared with.
@@ -204,11 +205,25 @@
 // place chooses a server and counts the attempt there.
 func (u *run) place(model string) (registry.Server, *place.Ticket, error) {
 	req := u.req
-	view := u.router.servers.View()
-	servers := u.router.versions.Eligible(req.Service, cmp.Or(req.Session, req.ID), view.Of(req.Service))
-	if len(servers) == 0 {
+	all := u.router.servers.View().Of(req.Service)
+	first, then := u.router.versions.Eligible(req.Service, cmp.Or(req.Session, req.ID), all)
+	if server, t := u.choose(first, model); t != nil {
+		return server, t, nil
+	}
+	if req.Session == "" { // a session stays on its version
+		if server, t := u.choose(then, model); t != nil {
+			return server, t, nil
+		}
+	}
+	if len(u.avoid) == 0 {
 		return registry.Server{}, nil, u.refused(fault.Unavailable, "no backend server of %s takes work", req.Service)
 	}
+	return registry.Server{}, nil, u.refused(fault.Unavailable, "every backend server of %s failed this request", req.Service)
+}
+
+// choose takes the best of some servers; the ticket is nil if none may be used.
+func (u *run) choose(servers []registry.Server, model string) (registry.Server, *place.Ticket) {
+	req := u.req
 	ask := place.Ask{
 		Candidates: make([]place.Candidate, len(servers)), Class: req.Service + " " + model, Parts: req.Prompt.Parts,
 		Tokens: req.Prompt.TokensIn, Objective: req.Route.TargetLatency, Avoid: u.avoid,
@@ -221,10 +236,10 @@
 	}
 	t := u.router.chooser.Choose(ask, time.Now())
 	if t == nil {
-		return registry.Server{}, nil, u.refused(fault.Unavailable, "every backend server of %s failed this request", req.Service)
+		return registry.Server{}, nil
 	}
 	i := slices.IndexFunc(servers, func(s registry.Server) bool { return s.ID == t.ID })
-	return servers[i], t, nil
+	return servers[i], t
 }
 
 // end releases the attempt's place and counts its outcome; it may be called more than once.
--- a/internal/route/forward/router_test.go
+++ b/internal/route/forward/router_test.go
@@ -52,10 +52,12 @@
 // allVersions lets every server take every request.
 type allVersions struct{}
 
-func (allVersions) Eligible(_, _ string, s []registry.Server) []registry.Server { return s }
-func (allVersions) Begin(registry.Server)                                       {}
-func (allVersions) End(registry.Server)                                         {}
-func (allVersions) Judge(registry.Server, string, string, bool, time.Duration)  {}
+func (allVersions) Eligible(_, _ string, s []registry.Server) (first, then []registry.Server) {
+	return s, nil
+}
+func (allVersions) Begin(registry.Server)                                      {}
+func (allVersions) End(registry.Server)                                        {}
+func (allVersions) Judge(registry.Server, string, string, bool, time.Duration) {}
 func decodeServer(o mirror.Object) (registry.Server, error) {
 	return registry.Server{ID: o.Name, Service: "s", Address: o.Name, AvailabilityZone: "a", Slots: 8}, nil
 }
