--- a/cmd/pollencourse/check.go
+++ b/cmd/pollencourse/check.go
@@ -11,6 +11,7 @@
 	"github.com/pollencourse/pollencourse/internal/config/template"
 	"github.com/pollencourse/pollencourse/internal/core/fault"
 	"github.com/pollencourse/pollencourse/internal/core/settings"
+	"github.com/pollencourse/pollencourse/platform"
 )
 
 // checked is the result for one file.
@@ -25,13 +26,14 @@
 	cmd := &cobra.Command{
 		Use:   "check FILE...",
 		Short: "Check settings and templates without a daemon",
-		Long:  "Checks files and prints every fault with file:line:column and its remedy. The kind is told by the content: a file with [daemon] holds settings.",
-		Args:  cobra.MinimumNArgs(1),
+		Long: "Checks files and prints every fault with file:line:column and its remedy. The kind is told by the content: a file with [daemon] holds settings, " +
+			"a JSON object those of the users' platform.",
+		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return check(g, cmd, kind, args)
 		},
 	}
-	cmd.Flags().StringVar(&kind, "kind", "", "settings or template; empty tells by the content")
+	cmd.Flags().StringVar(&kind, "kind", "", "settings, platform or template; empty tells by the content")
 	return cmd
 }
 
@@ -71,14 +73,20 @@
 	}
 	if kind == "" {
 		kind = "template"
-		if strings.Contains(string(data), "[daemon]") {
+		switch text := strings.TrimSpace(string(data)); {
+		case strings.HasPrefix(text, "{"):
+			kind = "platform"
+		case strings.Contains(text, "[daemon]"):
 			kind = "settings"
 		}
 	}
 	c := checked{File: path, Kind: kind, Faults: []string{}}
-	if kind == "settings" {
+	switch kind {
+	case "settings":
 		_, err = settings.Parse(path, data)
-	} else {
+	case "platform":
+		_, err = platform.ParseSettings(path, data)
+	default:
 		_, err = template.Parse(path, 0, data)
 	}
 	if err != nil {
--- a/internal/edge/ingress/server.go
+++ b/internal/edge/ingress/server.go
@@ -138,14 +138,15 @@
 	if err != nil {
 		return nil, err
 	}
-	t := s.table(r.Context(), f.Left)
-	if t == nil {
-		return nil, fault.New(fault.Unavailable, "use another entry VM", "this daemon has no configuration yet").WithRetryAfter(unconfiguredPause)
-	}
 	req := &forward.Request{
-		ID: f.RequestID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: f.Pass, Revision: t.Revision,
+		ID: f.RequestID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: f.Pass,
 		Arrived: arrived, Prompt: f.Prompt, Session: f.Session, LastEvent: f.LastEvent,
 	}
+	t := s.table(r.Context(), f.Left)
+	if t == nil {
+		return req, fault.New(fault.Unavailable, "use another entry VM", "this daemon has no configuration yet").WithRetryAfter(unconfiguredPause)
+	}
+	req.Revision = t.Revision
 	if err := match(t, req, f); err != nil {
 		return req, err
 	}
--- a/internal/edge/ingress/server_test.go
+++ b/internal/edge/ingress/server_test.go
@@ -184,6 +184,7 @@
 		require.Equal(t, 503, resp.StatusCode, "not 404: no configuration says so")
 		require.Contains(t, body, "notRun")
 		require.NotEmpty(t, resp.Header.Get("Retry-After"))
+		require.Equal(t, "1", resp.Header.Get("Id"), "the ID leads to the log")
 		require.Equal(t, time.Second, time.Since(began), "an eighth of the caller's time")
 		time.AfterFunc(500*time.Millisecond, func() { b.tables.Offer(table(1), "test") })
 		resp, _ = b.dial().do(t, "POST", "/a/", "", "Id: 1", "Key: k")
--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -127,18 +127,19 @@
 // logEnd writes the one line that tells how a request ended.
 func (r *Router) logEnd(u *run, err error) {
 	took := time.Since(u.req.Arrived).Milliseconds()
-	server, model := "", ""
+	server, version, model, expected := "", "", "", int64(0)
 	if u.last != nil {
-		server, model = u.last.server.ID, u.last.model
+		server, version, model = u.last.server.ID, u.last.server.Version, u.last.model
+		expected = u.last.ticket.Expected().Milliseconds()
 	}
 	if err == nil {
 		r.log.Emit(event.RequestDone, "request", u.req.ID, "route", u.req.Route.Name, "revision", u.req.Revision,
-			"server", server, "model", model, "status", u.status, "attempts", u.attempts, "ms", took)
+			"server", server, "version", version, "model", model, "expectedMs", expected, "status", u.status, "attempts", u.attempts, "ms", took)
 		return
 	}
 	e := fault.As(err)
 	r.log.Emit(event.RequestFailed, "request", u.req.ID, "route", u.req.Route.Name, "revision", u.req.Revision,
-		"server", server, "model", model, "attempts", u.attempts, "ms", took, "kind", string(e.Kind),
+		"server", server, "version", version, "model", model, "expectedMs", expected, "attempts", u.attempts, "ms", took, "kind", string(e.Kind),
 		"outcome", string(e.Outcome), "begun", u.begun, "error", e.Error())
 }
 
