forward, ingress: larger models only in time; refuse what the kill would cut

Change: a larger model answers only if it is expected to begin within the route's target; it may use 0.75 of the repeats again. A leaving daemon refuses what could not end before the kill, and takes no new connection once no list can name it.

--- a/internal/decide/place/chooser.go
+++ b/internal/decide/place/chooser.go
@@ -70,6 +70,26 @@
 	return c.take(ask, best, best == home, now)
 }
 
+// Expect returns the least expected time to the first piece; ok is false if no server may be used.
+func (c *Chooser) Expect(ask Ask, now time.Time) (d time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	home := preferred(ask)
+	best := math.Inf(1)
+	for i, cand := range ask.Candidates {
+		s := c.server(cand)
+		if now.Before(s.until) || slices.Contains(ask.Avoid, cand.ID) {
+			continue
+		}
+		_, work := c.work(ask, s, cand, i == home, now)
+		best = math.Min(best, (s.waiting+work)*s.factor())
+	}
+	if math.IsInf(best, 1) {
+		return 0, false
+	}
+	return time.Duration(best * float64(time.Second)), true
+}
+
 func (c *Chooser) take(ask Ask, i int, home bool, now time.Time) *Ticket {
 	cand := ask.Candidates[i]
 	s := c.server(cand)
--- a/internal/decide/place/chooser_test.go
+++ b/internal/decide/place/chooser_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+func TestTheExpectedTimeGrowsWithTheWorkThatWaits(t *testing.T) {
+	c := New("r", "a")
+	before, ok := c.Expect(prompt("x", 4000), now)
+	require.True(t, ok)
+	for range 8 {
+		c.Choose(prompt("y", 50_000), now)
+	}
+	after, ok := c.Expect(prompt("x", 4000), now)
+	require.True(t, ok)
+	require.Greater(t, after, 4*before)
+	none := prompt("x", 4000)
+	none.Candidates = nil
+	_, ok = c.Expect(none, now)
+	require.False(t, ok)
+}
+
 func TestAServerFarAwayIsTakenOnlyWhenTheNearOnesAreBusy(t *testing.T) {
 	c := New("r", "a")
 	ask := Ask{Candidates: candidates(2), Class: "s", Objective: time.Second}
--- a/internal/edge/ingress/run.go
+++ b/internal/edge/ingress/run.go
@@ -42,8 +42,11 @@
 	return s.http.Close()
 }
 
-// drain waits until no caller is left or the grace is nearly over.
+// drain waits until no caller is left or the grace is nearly over. Once no list can name this daemon any more it takes
+// no new connection, so that a caller that still comes goes elsewhere at once.
 func (s *Server) drain(began time.Time) {
+	closing := time.AfterFunc(settled(s.cfg.Lifetime), func() { _ = s.cfg.Listener.Close() })
+	defer closing.Stop()
 	for {
 		time.Sleep(finishPoll)
 		past := time.Since(began)
--- a/internal/edge/ingress/server.go
+++ b/internal/edge/ingress/server.go
@@ -214,13 +214,17 @@
 	return strings.ToLower(host)
 }
 
-// finishable refuses streams that could not end before a leaving daemon is killed.
+// finishable refuses what could not end before a leaving daemon is killed.
 func (s *Server) finishable(req *forward.Request) error {
 	left := s.leaving.Load()
-	if left == nil || req.Route.Kind != routing.Streaming {
+	if left == nil {
 		return nil
 	}
-	if time.Since(*left) < lastStream {
+	latest := s.cfg.Grace - exitMargin - time.Until(req.Deadline)
+	if req.Route.Kind == routing.Streaming {
+		latest = lastStream
+	}
+	if time.Since(*left) < latest {
 		return nil
 	}
 	return fault.New(fault.Unavailable, "use another entry VM", "this daemon is leaving").WithRetryAfter(leavingPause)
--- a/internal/edge/ingress/server_test.go
+++ b/internal/edge/ingress/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -49,6 +50,7 @@
 type pipes struct {
 	conns chan net.Conn
 	done  chan struct{}
+	once  *sync.Once
 }
 
 func (p pipes) Accept() (net.Conn, error) {
@@ -59,7 +61,11 @@
 		return nil, net.ErrClosed
 	}
 }
-func (p pipes) Close() error   { close(p.done); return nil }
+
+func (p pipes) Close() error {
+	p.once.Do(func() { close(p.done) })
+	return nil
+}
 func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
 
 // caller is one connection to the server.
@@ -102,7 +108,7 @@
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		b := &bench{
-			pipes:  pipes{make(chan net.Conn), make(chan struct{})},
+			pipes:  pipes{make(chan net.Conn), make(chan struct{}), &sync.Once{}},
 			tables: routing.NewHolder(event.Discard()), ended: make(chan error, 1),
 		}
 		b.server = New(Config{
@@ -265,3 +271,37 @@
 		b.ended <- nil
 	})
 }
+
+// TestWhatCouldNotEndBeforeTheKillIsRefused is trouble-2 of karamu-quotes: a caller came 7.5 s after SIGTERM and its
+// request was cut with the process.
+func TestWhatCouldNotEndBeforeTheKillIsRefused(t *testing.T) {
+	var begun atomic.Int64
+	play(t, func(ctx context.Context, req *forward.Request, w http.ResponseWriter) error {
+		begun.Add(1)
+		time.Sleep(time.Until(req.Deadline) - time.Millisecond)
+		return echo(ctx, req, w)
+	}, func(b *bench) {
+		b.tables.Offer(table(1), "test")
+		early, late := b.dial(), b.dial()
+		synctest.Wait()
+		b.stop()
+		time.Sleep(2 * time.Second)
+		resp, _ := early.do(t, "POST", "/a/", "", "Id: 1", "Key: k")
+		require.Equal(t, 200, resp.StatusCode, "five seconds are left for it")
+		time.Sleep(500 * time.Millisecond)
+		go func() {
+			_, _ = io.WriteString(late.conn, "POST /a/ HTTP/1.1\r\nHost: h.example\r\nId: 2\r\nKey: k\r\nContent-Length: 0\r\n\r\n")
+		}()
+		resp, err := http.ReadResponse(late.in, nil)
+		if err == nil {
+			require.Equal(t, 503, resp.StatusCode)
+			require.True(t, resp.Close)
+		}
+		require.EqualValues(t, 1, begun.Load(), "what could be cut is not begun")
+		select {
+		case b.conns <- nil:
+			t.Error("a new connection is taken")
+		case <-b.done:
+		}
+	})
+}
--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -233,6 +233,16 @@
 
 // choose takes the best of some servers; the ticket is nil if none may be used.
 func (u *run) choose(servers []registry.Server, model string) (registry.Server, *place.Ticket) {
+	t := u.router.chooser.Choose(u.ask(servers, model), time.Now())
+	if t == nil {
+		return registry.Server{}, nil
+	}
+	i := slices.IndexFunc(servers, func(s registry.Server) bool { return s.ID == t.ID })
+	return servers[i], t
+}
+
+// ask is what an attempt with a model needs of some servers.
+func (u *run) ask(servers []registry.Server, model string) place.Ask {
 	req := u.req
 	ask := place.Ask{
 		Candidates: make([]place.Candidate, len(servers)), Class: req.Service + " " + model, Parts: req.Prompt.Parts,
@@ -244,12 +254,15 @@
 			Region: u.router.opts.ZoneRegion[s.AvailabilityZone], Slots: s.Slots,
 		}
 	}
-	t := u.router.chooser.Choose(ask, time.Now())
-	if t == nil {
-		return registry.Server{}, nil
-	}
-	i := slices.IndexFunc(servers, func(s registry.Server) bool { return s.ID == t.ID })
-	return servers[i], t
+	return ask
+}
+
+// inTime reports whether a model's answer is expected to begin within the route's target.
+func (u *run) inTime(model string) bool {
+	req := u.req
+	first, _ := u.router.versions.Eligible(req.Service, cmp.Or(req.Session, req.ID), u.router.servers.View().Of(req.Service))
+	expected, ok := u.router.chooser.Expect(u.ask(first, model), time.Now())
+	return ok && time.Since(req.Arrived)+expected < req.Route.TargetLatency
 }
 
 // end releases the attempt's place and counts its outcome; it may be called more than once.
--- a/internal/route/forward/router_test.go
+++ b/internal/route/forward/router_test.go
@@ -314,6 +314,23 @@
 	})
 }
 
+func TestAnUnsureAnswerIsKeptWhereALargerModelWouldBeLate(t *testing.T) {
+	serve(t, 2, func() *Request {
+		req := request(routing.Streaming)
+		req.Route.Models = []string{"m0", "m2"}
+		req.Prompt.TokensIn = 1_000_000 // half a minute at the first rate
+		return req
+	}, func(context.Context, int, Attempt) (*Reply, *Failure) {
+		r := reply(200, event3(1, 1))
+		r.Confidence = 10
+		return r, nil
+	}, func(up *fakeUpstream, w *httptest.ResponseRecorder, err error) {
+		require.NoError(t, err)
+		require.Len(t, up.attempts, 1)
+		require.Equal(t, event3(1, 1), w.Body.String())
+	})
+}
+
 func TestTheServersWorkEndsWhenTheCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		up := &fakeUpstream{script: func(ctx context.Context, _ int, _ Attempt) (*Reply, *Failure) {
--- a/internal/route/forward/stream.go
+++ b/internal/route/forward/stream.go
@@ -63,7 +63,7 @@
 		return "", false
 	}
 	next, ok := u.router.models.Next(u.req.Route.Models, model, reply.Confidence)
-	if !ok || !u.mayRepeat(ctx, largerModels) {
+	if !ok || !u.inTime(next) || !u.mayRepeat(ctx, largerModels) {
 		return "", false
 	}
 	u.router.counts.escalated.Add(1)
--- a/internal/route/forward/watch.go
+++ b/internal/route/forward/watch.go
@@ -28,7 +28,7 @@
 	leastGap = 400 * time.Millisecond
 	// allRepeats lets failed attempts use all repeats that are allowed; largerModels leaves them a part.
 	allRepeats   = 1.0
-	largerModels = 0.6
+	largerModels = 0.75
 )
 
 // watch ends an attempt whose answer is lost while its server goes on answering others.
