peer: end the reads of a closing link's streams

The profile of the process that spun: yamux's Stream.Read in Hub.serveStream. Between the end of a session and that of its streams a blocked read spins on the session's shutdown channel; where nothing preempts it, the goroutine that closes the session never runs on. Ruled out: load (it hung alone on an idle machine), our own timers (not in the profile). Change: the connection under a mux ends the reads of its streams when it closes.

--- a/internal/fleet/peer/conn.go
+++ b/internal/fleet/peer/conn.go
@@ -41,6 +41,7 @@
 type session struct {
 	node   Node
 	mux    *yamux.Session
+	link   *link
 	dialed bool
 	// used is when the session last carried a call, in Unix nanoseconds.
 	used atomic.Int64
@@ -72,6 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.link.watch(stream)
 	return &callStream{stream: stream, reader: bufio.NewReader(stream)}, nil
 }
 
@@ -80,7 +82,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.idle) >= maxIdleStreams {
-		_ = c.stream.Close()
+		s.link.drop(c.stream)
 		return
 	}
 	s.idle = append(s.idle, c)
--- a/internal/fleet/peer/hub.go
+++ b/internal/fleet/peer/hub.go
@@ -142,12 +142,13 @@
 		_ = conn.Close()
 		return
 	}
-	mux, err := yamux.Server(counted, muxConfig())
+	l := newLink(counted)
+	mux, err := yamux.Server(l, muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
-	h.adopt(&session{node: node, mux: mux})
+	h.adopt(&session{node: node, mux: mux, link: l})
 }
 
 // checkIncarnation refuses the older of two processes with one ID.
@@ -216,7 +217,8 @@
 
 // serveStream answers one call after another until the peer closes the stream.
 func (h *Hub) serveStream(s *session, stream *yamux.Stream) {
-	defer stream.Close()
+	s.link.watch(stream)
+	defer s.link.drop(stream)
 	r := bufio.NewReader(stream)
 	for {
 		var req peerpb.Request
@@ -278,11 +280,11 @@
 	if !ok {
 		deadline = time.Now().Add(streamTimeout)
 	}
-	_ = c.stream.SetDeadline(deadline)
-	stop := context.AfterFunc(ctx, func() { _ = c.stream.SetDeadline(time.Now()) })
+	s.link.setDeadline(c.stream, deadline)
+	stop := context.AfterFunc(ctx, func() { s.link.setDeadline(c.stream, time.Now()) })
 	out, err := c.exchange(service, req)
 	if !stop() || err != nil {
-		_ = c.stream.Close()
+		s.link.drop(c.stream)
 	} else {
 		s.keep(c)
 	}
@@ -364,11 +366,12 @@
 	if to.ID != "" && node.ID != to.ID {
 		return nil, errors.Newf("address %s is daemon %s, not %s", to.PeerAddress, node.ID, to.ID)
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	l := newLink(conn)
+	mux, err := yamux.Client(l, muxConfig())
 	if err != nil {
 		return nil, err
 	}
-	return &session{node: node, mux: mux, dialed: true}, nil
+	return &session{node: node, mux: mux, link: l, dialed: true}, nil
 }
 
 // Join connects to whichever daemon listens at an address.
