replica, mirror: fewer store calls at starts and in outages, faster recovery

Change: a daemon that has just started lets its peers tell for 350 ms, seeds apart; seeds are tried each 100 ms; the first beacon comes with the last list; the first configuration is pulled at once from any zone. While no reader reaches the store the daemons' tries are spread so that their rate does not grow with the fleet, one mirror of a daemon tries, and who succeeds stands in as reader.

--- a/internal/app/entry/configpull.go
+++ b/internal/app/entry/configpull.go
@@ -25,7 +25,8 @@
 	}
 }
 
-// catchUp pulls from the own availability zone at once, where bytes cost nothing, and else after a while.
+// catchUp pulls from the own availability zone at once, where bytes cost nothing, and else after a while; a daemon
+// without any configuration does not wait.
 func (s *configShare) catchUp(ctx context.Context) {
 	own := revisionPrefix + s.hub.Self().AvailabilityZone
 	if s.behind(own) {
@@ -34,10 +35,12 @@
 			return
 		}
 	}
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(pullAfter):
+	if s.tables.Current() != nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pullAfter):
+		}
 	}
 	for _, rec := range s.gossip.Fleet().Prefix(revisionPrefix) {
 		if s.behind(rec.Key) {
--- a/internal/app/entry/daemon.go
+++ b/internal/app/entry/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -95,14 +96,18 @@
 	d.kernel.Add("servers", servers)
 	trials := trial.New(d.id, gossip, members, store, platform.DecodeRollout, d.cfg.Bounds.ExposureShare, d.log)
 	d.kernel.Add("trials", trials)
-	shared := replica.New(d.id, gossip, func() bool { return reads(members) }, share.lagging, d.log)
+	first := len(d.cfg.Seeds) == 0 || slices.Contains(d.cfg.Seeds, d.cfg.PeerAddress)
+	shared := replica.New(d.id, gossip, replica.Options{
+		Chosen: func() bool { return reads(members) }, Lagging: share.lagging,
+		Live: func() int { return len(members.Live()) }, First: first,
+	}, d.log)
 	tables.OnChange(func(t *routing.Table) { shared.Count("configuration", t.Revision) })
 	d.kernel.Add("replica", shared)
 	health := mirror.NewHealth()
 	follow := func(kind string, sink mirror.Sink, opts mirror.Options) {
 		d.kernel.Add("mirror of "+kind, mirror.New(store, kind, sink, shared, health, opts, d.log))
 	}
-	follow(platform.KindConfig, share, mirror.Options{LongestPause: probePause})
+	follow(platform.KindConfig, share, mirror.Options{LongestPause: probePause, Probes: true})
 	follow(platform.KindServers, shared.Follow(platform.KindServers, servers), mirror.Options{Gather: gatherServers, LongestPause: idlePause})
 	follow(platform.KindRollouts, shared.Follow(platform.KindRollouts, trials), mirror.Options{LongestPause: idlePause})
 	d.buildEdges(ls, &started{tables, shared.Loaded()}, members, d.buildRouter(servers, trials, members))
@@ -150,7 +155,7 @@
 	d.kernel.Add("relay", gossip)
 	d.kernel.Add("members", members)
 	d.kernel.Add("registration", &registration{
-		daemons: daemons, vm: c.ID, log: d.log,
+		daemons: daemons, vm: c.ID, log: d.log, needed: func() bool { return reads(members) },
 		entry: vmlist.VM{ID: d.id, Region: c.Region, AvailabilityZone: c.AvailabilityZone, PeerAddress: c.PeerAddress},
 	})
 	return gossip, members, hub
--- a/internal/config/mirror/health.go
+++ b/internal/config/mirror/health.go
@@ -41,6 +41,17 @@
 	}
 }
 
+// WaitWhileAway waits like Wait if the store is away, and reports whether it was.
+func (h *Health) WaitWhileAway(ctx context.Context, d time.Duration) bool {
+	h.mu.Lock()
+	away := h.away
+	h.mu.Unlock()
+	if away {
+		h.Wait(ctx, d)
+	}
+	return away
+}
+
 // rest returns after d or when ctx ends.
 func rest(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -55,6 +55,8 @@
 type Gate interface {
 	Active() bool
 	Wait(ctx context.Context)
+	// Failed tells that the store did not answer.
+	Failed()
 }
 
 const (
@@ -63,6 +65,11 @@
 	watchWait = 5 * time.Second
 	// watchSpread keeps the calls of different daemons from ending together.
 	watchSpread = 2 * time.Second
+	// listTimeout bounds the first try to list a kind; a call to a store that has fallen silent is never answered, not
+	// even once the store is back. Further tries may take longer, in turns, for a store that is only slow.
+	listTimeout = 600 * time.Millisecond
+	// listTurns is the number of tries of which each may take twice as long as the one before.
+	listTurns = 3
 	// firstPause is the shortest time between calls while the store does not answer.
 	firstPause = 150 * time.Millisecond
 )
@@ -73,6 +80,8 @@
 	Gather time.Duration
 	// LongestPause is the longest time between calls while the store does not answer.
 	LongestPause time.Duration
+	// Probes has this mirror try the store while it is away; the others of a daemon wait for its success.
+	Probes bool
 }
 
 // Mirror follows one kind.
@@ -90,6 +99,8 @@
 	answered time.Time
 	revision int64
 	lists    int64
+	// unanswered counts the lists since the last that was answered.
+	unanswered int
 }
 
 // New returns a mirror of a kind; mirrors of one store share its health.
@@ -103,11 +114,15 @@
 	pause.InitialInterval, pause.MaxInterval = firstPause, m.opts.LongestPause
 	for ctx.Err() == nil {
 		m.gate.Wait(ctx)
+		if !m.opts.Probes && m.health.WaitWhileAway(ctx, m.opts.LongestPause) {
+			continue
+		}
 		err := m.follow(ctx, pause.Reset)
 		m.sink.Reading(false)
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
+		m.gate.Failed()
 		m.health.Wait(ctx, pause.NextBackOff())
 	}
 	return nil
@@ -115,7 +130,7 @@
 
 // follow lists and then watches until a call fails, the history is gone or the gate is closed.
 func (m *Mirror) follow(ctx context.Context, answered func()) error {
-	objects, at, err := m.source.List(ctx, m.kind)
+	objects, at, err := m.list(ctx)
 	if err != nil {
 		m.note(ctx, err)
 		return err
@@ -149,6 +164,19 @@
 	return nil
 }
 
+// list lists the kind within a time that grows with the tries that were not answered, in turns.
+func (m *Mirror) list(ctx context.Context) ([]Object, int64, error) {
+	listCtx, cancel := context.WithTimeout(ctx, listTimeout<<(m.unanswered%listTurns))
+	defer cancel()
+	objects, at, err := m.source.List(listCtx, m.kind)
+	if err != nil {
+		m.unanswered++
+	} else {
+		m.unanswered = 0
+	}
+	return objects, at, err
+}
+
 func (m *Mirror) at(revision int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -162,7 +190,9 @@
 		return false
 	}
 	m.mu.Lock()
-	m.health.Note(err == nil)
+	if err == nil || m.opts.Probes {
+		m.health.Note(err == nil)
+	}
 	was := m.failing
 	m.failing = err != nil
 	if err == nil {
--- a/internal/config/mirror/mirror_test.go
+++ b/internal/config/mirror/mirror_test.go
@@ -143,6 +143,7 @@
 
 func (open) Active() bool         { return true }
 func (open) Wait(context.Context) {}
+func (open) Failed()              {}
 
 func run(t *testing.T, fn func(f *fakeStore, s *state)) {
 	t.Helper()
--- /dev/null
+++ b/internal/config/replica/outage_test.go
@@ -0,0 +1,87 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencourse/pollencourse/internal/config/mirror"
+	"github.com/pollencourse/pollencourse/internal/core/event"
+)
+
+func never() bool { return false }
+
+// fleetOf returns n replicas of which none is chosen to read the store.
+func fleetOf(m *mesh, n int) []*Replica {
+	out := make([]*Replica, n)
+	for i := range out {
+		out[i] = New(fmt.Sprintf("d%02d", i), m.node(), Options{
+			Chosen: never, Lagging: inTime, Live: func() int { return n }, First: true,
+		}, event.Discard())
+		out[i].Follow("kind", newTarget())
+	}
+	return out
+}
+
+func TestADaemonThatHasJustStartedLetsItsPeersTell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &mesh{}
+		seed := New("seed", m.node(), Options{Chosen: func() bool { return true }, Lagging: inTime, Live: func() int { return 2 }, First: true}, event.Discard())
+		late := New("late", m.node(), Options{Chosen: func() bool { return true }, Lagging: inTime, Live: func() int { return 1 }}, event.Discard())
+		sink := seed.Follow("kind", newTarget())
+		late.Follow("kind", newTarget())
+		go func() { _ = seed.Run(t.Context()) }()
+		require.True(t, seed.Active())
+		require.False(t, late.Active(), "peers may know")
+		sink.Replace([]mirror.Object{obj("a", 3, "x")}, 3, false)
+		synctest.Wait()
+		select {
+		case <-late.Loaded():
+		default:
+			t.Fatal("the first beacon comes as soon as everything is read")
+		}
+		time.Sleep(patience)
+		require.True(t, late.Active(), "a chosen daemon reads the store in the end")
+	})
+}
+
+func TestTheRateOfProbesDoesNotGrowWithTheFleet(t *testing.T) {
+	const span = 20 * time.Second
+	for _, n := range []int{5, 40, 160} {
+		synctest.Test(t, func(t *testing.T) {
+			probes := 0
+			fleet := fleetOf(&mesh{}, n)
+			for began := time.Now(); time.Since(began) < span; time.Sleep(10 * time.Millisecond) {
+				for _, r := range fleet {
+					if r.Active() {
+						probes++
+						r.Failed()
+					}
+				}
+			}
+			want := float64(span / probeInterval)
+			require.InDelta(t, want, float64(probes-n), want/3, "%d daemons, the first try of each apart", n)
+		})
+	}
+}
+
+func TestOneSubstituteGoesOnReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := fleetOf(&mesh{}, 4)
+		for _, r := range fleet {
+			go func() { _ = r.Run(t.Context()) }()
+			(&reader{r, "kind"}).Replace(nil, 1, false)
+		}
+		time.Sleep(4 * time.Second)
+		var active []string
+		for _, r := range fleet {
+			if r.Active() {
+				active = append(active, r.self)
+			}
+		}
+		require.Equal(t, []string{"d00"}, active)
+	})
+}
--- a/internal/config/replica/reader.go
+++ b/internal/config/replica/reader.go
@@ -77,7 +77,13 @@
 			return
 		}
 	}
-	r.reading = true
+	if !r.reading {
+		r.reading = true
+		select {
+		case r.complete <- struct{}{}:
+		default:
+		}
+	}
 	r.load()
 }
 
--- a/internal/config/replica/replica.go
+++ b/internal/config/replica/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -19,12 +20,22 @@
 const (
 	objectPrefix = "object/"
 	beaconPrefix = "storeReader/"
+	// substitute marks the beacons of daemons that read the store because no chosen one does.
+	substitute = "substitute/"
 	// beaconInterval is the time between beacons; three lost ones send a daemon to the store, well within the
 	// seconds in which a change has to be known everywhere.
 	beaconInterval = 500 * time.Millisecond
-	silence        = 1600 * time.Millisecond
+	// gatePoll is how often a daemon that does not read the store looks whether it has to.
+	gatePoll = 200 * time.Millisecond
+	silence  = 1600 * time.Millisecond
 	// difference is how long a daemon's digest may differ from a reader's.
 	difference = 1200 * time.Millisecond
+	// patience is how long a daemon that has just started lets its peers tell what the store holds: two round trips
+	// between regions and the copy of a table.
+	patience = 350 * time.Millisecond
+	// probeInterval is the time between two tries at a store that no reader reaches, by all daemons together that are
+	// not chosen to read it.
+	probeInterval = 80 * time.Millisecond
 	// restless is how long after the store's return an entry may be missing without being gone.
 	restless = 2 * time.Second
 )
@@ -46,10 +57,10 @@
 type Replica struct {
 	self   string
 	gossip Gossip
-	chosen func() bool
-	// lagging reports whether something that is shared otherwise is late.
-	lagging func() bool
-	log     *event.Log
+	opts   Options
+	log    *event.Log
+	// patient is the time until which peers may tell what the store holds.
+	patient time.Time
 
 	// order is held while a change is handed on, so that targets see the changes of an object in their order.
 	order sync.Mutex
@@ -69,14 +80,32 @@
 	quietUntil time.Time
 	loaded     chan struct{}
 	reading    bool
+	// complete asks for a beacon once this daemon has read all kinds.
+	complete chan struct{}
+	// nextProbe is when a daemon that hears no reader tries the store itself; zero while it hears one.
+	nextProbe time.Time
 }
 
-// New returns an empty replica; chosen reports whether this daemon reads the store for others, lagging whether what
-// is shared by other means than records is late.
-func New(self string, gossip Gossip, chosen, lagging func() bool, log *event.Log) *Replica {
+// Options says what a replica knows of its daemon and of the fleet.
+type Options struct {
+	// Chosen reports whether this daemon reads the store for others.
+	Chosen func() bool
+	// Lagging reports whether what is shared by other means than records is late.
+	Lagging func() bool
+	// Live returns the number of live daemons.
+	Live func() int
+	// First is true for a daemon that others turn to when they start: it reads the store at once.
+	First bool
+}
+
+// New returns an empty replica.
+func New(self string, gossip Gossip, opts Options, log *event.Log) *Replica {
 	r := &Replica{
-		self: self, gossip: gossip, chosen: chosen, lagging: lagging, log: log, targets: map[string]Target{}, listed: map[string]bool{},
-		hashes: map[string]uint64{}, versions: map[string]int64{}, loaded: make(chan struct{}),
+		self: self, gossip: gossip, opts: opts, log: log, targets: map[string]Target{}, listed: map[string]bool{},
+		hashes: map[string]uint64{}, versions: map[string]int64{}, loaded: make(chan struct{}), complete: make(chan struct{}, 1),
+	}
+	if !opts.First {
+		r.patient = time.Now().Add(patience)
 	}
 	gossip.MarkFrequent(beaconPrefix)
 	gossip.Fleet().Subscribe(objectPrefix, r.applied)
@@ -150,14 +179,19 @@
 
 // heardBeacon takes the digest of a daemon that reads the store.
 func (r *Replica) heardBeacon(rec relay.Record) {
+	from, ofSubstitute := strings.CutPrefix(strings.TrimPrefix(rec.Key, beaconPrefix), substitute)
 	var d peerpb.TableDigest
-	if rec.Key == beaconPrefix+r.self || proto.Unmarshal(rec.Body, &d) != nil {
+	if from == r.self || proto.Unmarshal(rec.Body, &d) != nil {
 		return
 	}
+	chosen := r.opts.Chosen()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if ofSubstitute && r.reading && !chosen && r.self < from {
+		return // of several substitutes the one with the lowest ID goes on
+	}
 	now := time.Now()
-	r.heard, r.beacon = now, d.GetRoot()
+	r.heard, r.beacon, r.nextProbe = now, d.GetRoot(), time.Time{}
 	r.note(now)
 }
 
@@ -184,11 +218,40 @@
 
 // Active reports whether this daemon has to read the store itself.
 func (r *Replica) Active() bool {
-	chosen := r.chosen() || r.lagging()
+	chosen := r.opts.Chosen() || r.opts.Lagging()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	return chosen || now.Sub(r.heard) > silence || r.beacon != r.digest && now.Sub(r.agreed) > difference
+	switch {
+	case now.Before(r.patient):
+		return false
+	case chosen:
+		return true
+	case now.Sub(r.heard) > silence:
+		return r.reading || r.probes(now)
+	default:
+		return r.beacon != r.digest && now.Sub(r.agreed) > difference
+	}
+}
+
+// probes reports whether it is this daemon's turn to try the store that no reader reaches; r.mu is held.
+func (r *Replica) probes(now time.Time) bool {
+	if r.nextProbe.IsZero() && !r.heard.IsZero() {
+		r.nextProbe = now.Add(r.probePause())
+	}
+	return !now.Before(r.nextProbe)
+}
+
+// probePause spreads the tries of the daemons so that their rate does not grow with the fleet.
+func (r *Replica) probePause() time.Duration {
+	return rand.N(2 * time.Duration(max(1, r.opts.Live())) * probeInterval)
+}
+
+// Failed notes that the store did not answer; a daemon that is not chosen leaves the next tries to others.
+func (r *Replica) Failed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nextProbe = time.Now().Add(r.probePause())
 }
 
 // Wait returns when the daemon may have to read the store, or when ctx ends.
@@ -196,12 +259,12 @@
 	for !r.Active() && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-time.After(beaconInterval / 2):
+		case <-time.After(gatePoll):
 		}
 	}
 }
 
-// Run publishes beacons while this daemon reads the store.
+// Run publishes beacons while this daemon reads the store, the first one as soon as it has read everything.
 func (r *Replica) Run(ctx context.Context) error {
 	ticker := time.NewTicker(beaconInterval)
 	defer ticker.Stop()
@@ -210,14 +273,20 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case <-r.complete:
 		}
 		r.mu.Lock()
-		reading, digest := r.reading, r.digest
+		reading, digest, silent := r.reading, r.digest, time.Since(r.heard) > silence
 		r.mu.Unlock()
-		if !reading || !r.chosen() {
+		key := beaconPrefix + r.self
+		if !r.opts.Chosen() {
+			reading = reading && silent
+			key = beaconPrefix + substitute + r.self
+		}
+		if !reading {
 			continue
 		}
-		if err := r.gossip.PublishOwn(beaconPrefix+r.self, &peerpb.TableDigest{Root: digest}); err != nil {
+		if err := r.gossip.PublishOwn(key, &peerpb.TableDigest{Root: digest}); err != nil {
 			r.log.Emit(event.PeerMessageWrong, "error", err.Error())
 		}
 	}
--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -271,9 +271,15 @@
 	defer ticker.Stop()
 	for {
 		s.joinUnmet(ctx)
+		var alone <-chan time.Time
+		if len(s.opts.Seeds) > 0 && len(s.Live()) < 2 {
+			alone = time.After(seedInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-alone:
+			continue
 		case <-ticker.C:
 		}
 		if s.IsWatcher() {
@@ -330,6 +336,10 @@
 	}
 }
 
+// seedInterval is the time between two tries at the seeds by a daemon that knows no other; seeds that start at the
+// same time listen a little later.
+const seedInterval = 100 * time.Millisecond
+
 // joinsAtOnce bounds how many unknown daemons are tried in one round.
 const joinsAtOnce = 3
 
