place: shared prompts prefer a server of the own zone; speeds within the noise count as none

The server that a prompt prefers stood in another zone for five of six daemons, and each daemon took the server whose learned speed was highest by chance. Change: the preferred server is one of the own zone; a learned speed counts only beyond 0.35 as a logarithm.

--- a/internal/decide/place/chooser.go
+++ b/internal/decide/place/chooser.go
@@ -49,7 +49,7 @@
 func (c *Chooser) Choose(ask Ask, now time.Time) *Ticket {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	home := preferred(ask)
+	home := c.preferred(ask)
 	best, lowest := -1, math.Inf(1)
 	offset := 0
 	if len(ask.Candidates) > 0 {
@@ -74,7 +74,7 @@
 func (c *Chooser) Expect(ask Ask, now time.Time) (d time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	home := preferred(ask)
+	home := c.preferred(ask)
 	best := math.Inf(1)
 	for i, cand := range ask.Candidates {
 		s := c.server(cand)
@@ -173,16 +173,21 @@
 	}
 }
 
-// preferred returns the candidate with the highest hash together with the last shared part; -1 for none.
-func preferred(ask Ask) int {
+// preferred returns the candidate of the own availability zone with the highest hash together with the last shared
+// part, or of all candidates if the zone has none; -1 for none.
+func (c *Chooser) preferred(ask Ask) int {
 	if len(ask.Parts) < 2 {
 		return -1
 	}
 	key := rendezvous.KeyOf(ask.Parts[len(ask.Parts)-2].ID)
-	best, top := -1, uint64(0)
+	best, top, near := -1, uint64(0), false
 	for i, cand := range ask.Candidates {
-		if h := key.Rank(cand.ID); best < 0 || h > top {
-			best, top = i, h
+		own := cand.AvailabilityZone == c.zone
+		if near && !own {
+			continue
+		}
+		if h := key.Rank(cand.ID); best < 0 || own && !near || h > top {
+			best, top, near = i, h, own
 		}
 	}
 	return best
--- a/internal/decide/place/chooser_test.go
+++ b/internal/decide/place/chooser_test.go
@@ -160,3 +160,36 @@
 		}
 	})
 }
+
+func TestSharedPromptsPreferOneServerOfTheOwnZone(t *testing.T) {
+	ask := prompt("x", 9000)
+	for i := range ask.Candidates {
+		ask.Candidates[i].AvailabilityZone = []string{"a", "b"}[i%2]
+	}
+	for _, zone := range []string{"a", "b"} {
+		homes := map[string]bool{}
+		for range 10 { // daemons of one zone, each without any memory
+			ticket := New("r", zone).Choose(ask, now)
+			i := slices.IndexFunc(ask.Candidates, func(c Candidate) bool { return c.ID == ticket.ID })
+			require.Equal(t, zone, ask.Candidates[i].AvailabilityZone)
+			homes[ticket.ID] = true
+		}
+		require.Len(t, homes, 1, "they agree")
+	}
+}
+
+func TestSpeedsThatDifferByChanceCountAsNone(t *testing.T) {
+	s := newServer(1)
+	for range 100 {
+		s.learnSpeed(speedNoise)
+	}
+	require.InDelta(t, 1, s.factor(), 1e-9)
+	for range 100 {
+		s.learnSpeed(-speedNoise)
+	}
+	require.InDelta(t, 1, s.factor(), 1e-9)
+	for range 100 {
+		s.learnSpeed(2)
+	}
+	require.Greater(t, s.factor(), 4.0)
+}
--- a/internal/decide/place/server.go
+++ b/internal/decide/place/server.go
@@ -14,6 +14,8 @@
 	failureWeight = 0.12
 	// speedWeight is the weight of the newest answer in a server's speed.
 	speedWeight = 0.15
+	// speedNoise is how far the speed that is learned strays by chance, as a logarithm.
+	speedNoise = 0.35
 	// maxSlow bounds how slow a server is taken to be.
 	maxSlow = 8.0
 	// cacheLife is how long a part is taken to stay in a server's cache after its last use.
@@ -48,8 +50,11 @@
 	return &server{born: born, parts: map[string]time.Time{}, unanswered: map[*Ticket]struct{}{}}
 }
 
-// factor is how much longer than expected an attempt takes here.
-func (s *server) factor() float64 { return math.Exp(s.slow) }
+// factor is how much longer than expected an attempt takes here; differences that a few answers can't tell from
+// chance count as none.
+func (s *server) factor() float64 {
+	return math.Exp(math.Copysign(math.Max(0, math.Abs(s.slow)-speedNoise), s.slow))
+}
 
 // cached returns the tokens at the beginning of a prompt that were sent here of late.
 func (s *server) cached(class string, parts []Part, now time.Time) int {
