member: try the seeds together and briefly while alone

Change: seeds are tried together, for 0.3, 0.6, 1.2 and 2.4 s in turns while no other daemon is known; copying the table has its own time.

--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -269,8 +269,8 @@
 	s.readList(ctx)
 	ticker := time.NewTicker(s.opts.ListInterval)
 	defer ticker.Stop()
-	for {
-		s.joinUnmet(ctx)
+	for round := 0; ; round++ {
+		s.joinUnmet(ctx, round)
 		var alone <-chan time.Time
 		if len(s.opts.Seeds) > 0 && len(s.Live()) < 2 {
 			alone = time.After(seedInterval)
@@ -320,40 +320,53 @@
 }
 
 // joinUnmet connects to daemons of which only the address is known and copies their table.
-func (s *Service) joinUnmet(ctx context.Context) {
+func (s *Service) joinUnmet(ctx context.Context, round int) {
 	var addresses []string
 	for _, vm := range s.view().unmet {
 		if vm.ID != s.self.ID && !vm.Leaving {
 			addresses = append(addresses, vm.PeerAddress)
 		}
 	}
+	timeout := s.opts.SuspectAfter
 	if len(s.Live()) < 2 {
 		addresses = append(addresses, s.opts.Seeds...)
+		timeout = min(timeout, joinTimeout<<(round%joinTurns))
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	var wg sync.WaitGroup
 	for _, a := range addresses[:min(len(addresses), joinsAtOnce)] {
-		s.join(ctx, a)
+		wg.Go(func() { s.join(ctx, a, timeout) })
 	}
+	wg.Wait()
 }
 
-// seedInterval is the time between two tries at the seeds by a daemon that knows no other; seeds that start at the
-// same time listen a little later.
-const seedInterval = 100 * time.Millisecond
-
-// joinsAtOnce bounds how many unknown daemons are tried in one round.
-const joinsAtOnce = 3
+const (
+	// seedInterval is the time between two tries at the seeds by a daemon that knows no other; seeds that start at
+	// the same time listen a little later.
+	seedInterval = 100 * time.Millisecond
+	// joinTimeout bounds the first try of a daemon that knows no other, three round trips between regions; a machine
+	// without power does not answer at all. Further tries may take longer, in turns, over links that lose packets.
+	joinTimeout = 300 * time.Millisecond
+	// joinTurns is the number of tries of which each may take twice as long as the one before.
+	joinTurns = 4
+	// joinsAtOnce bounds how many unknown daemons are tried in one round.
+	joinsAtOnce = 3
+)
 
-func (s *Service) join(ctx context.Context, address string) {
+// join connects to an address within a timeout and copies the table of the daemon there.
+func (s *Service) join(ctx context.Context, address string, timeout time.Duration) {
 	if address == "" || address == s.self.PeerAddress {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.opts.SuspectAfter)
+	joinCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	n, err := s.joiner.Join(ctx, address)
+	n, err := s.joiner.Join(joinCtx, address)
 	if err != nil {
 		return
 	}
-	_ = s.gossip.Sync(ctx, n)
+	syncCtx, cancel := context.WithTimeout(ctx, s.opts.SuspectAfter)
+	defer cancel()
+	_ = s.gossip.Sync(syncCtx, n)
 }
 
 // Dump shows the members, the neighbours and the backend servers.
