mirror, replica: watch the configuration 2.5 s at most; log and bound substitutes

Change: a mirror's watch takes as long as its options say, for the configuration 1.5 to 2.5 s. A daemon that begins to read the store in place of the readers says so (205), and tries every 4 s on the mean at least however large the fleet is. About 0.4 calls a second more for each reader.

--- a/internal/app/entry/daemon.go
+++ b/internal/app/entry/daemon.go
@@ -107,9 +107,9 @@
 	follow := func(kind string, sink mirror.Sink, opts mirror.Options) {
 		d.kernel.Add("mirror of "+kind, mirror.New(store, kind, sink, shared, health, opts, d.log))
 	}
-	follow(platform.KindConfig, share, mirror.Options{LongestPause: probePause, Probes: true})
-	follow(platform.KindServers, shared.Follow(platform.KindServers, servers), mirror.Options{Gather: gatherServers, LongestPause: idlePause})
-	follow(platform.KindRollouts, shared.Follow(platform.KindRollouts, trials), mirror.Options{LongestPause: idlePause})
+	follow(platform.KindConfig, share, mirror.Options{LongestPause: probePause, Wait: configWait, Probes: true})
+	follow(platform.KindServers, shared.Follow(platform.KindServers, servers), mirror.Options{Gather: gatherServers, LongestPause: idlePause, Wait: watchWait})
+	follow(platform.KindRollouts, shared.Follow(platform.KindRollouts, trials), mirror.Options{LongestPause: idlePause, Wait: watchWait})
 	d.buildEdges(ls, &started{tables, shared.Loaded()}, members, d.buildRouter(servers, trials, members))
 }
 
@@ -118,6 +118,10 @@
 	// that of the others, which it wakes.
 	probePause = 400 * time.Millisecond
 	idlePause  = 3 * time.Second
+	// watchWait is how long a watch takes; the platform allows 30 s. configWait leaves a second and a half to share what
+	// a watch missed: a configuration counts everywhere four seconds after the store is sound again.
+	watchWait  = 7 * time.Second
+	configWait = 2500 * time.Millisecond
 	// gatherServers collects the entries of servers that start together; a leaving one may get work for seconds.
 	gatherServers = 350 * time.Millisecond
 	// leastReaders is how many daemons of the fleet read the store for the others at least; each zone has one.
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -60,11 +60,9 @@
 }
 
 const (
-	// watchWait is how long one call waits for a change; the platform takes 30 s at most, and a store that has fallen
-	// silent shows only at the end of a call.
-	watchWait = 5 * time.Second
-	// watchSpread keeps the calls of different daemons from ending together.
-	watchSpread = 2 * time.Second
+	// watchSpread is the part of a watch's time by which watches differ, so that those of different daemons do not end
+	// together.
+	watchSpread = 0.4
 	// listTimeout bounds the first try to list a kind; a call to a store that has fallen silent is never answered, not
 	// even once the store is back. Further tries may take longer, in turns, for a store that is only slow.
 	listTimeout = 600 * time.Millisecond
@@ -80,6 +78,9 @@
 	Gather time.Duration
 	// LongestPause is the longest time between calls while the store does not answer.
 	LongestPause time.Duration
+	// Wait is how long one call waits for a change at most; a store that has fallen silent, and changes that a watch did
+	// not hear of, show only at the end of a call.
+	Wait time.Duration
 	// Probes has this mirror try the store while it is away; the others of a daemon wait for its success.
 	Probes bool
 }
@@ -139,7 +140,7 @@
 	m.at(at)
 	answered()
 	for m.gate.Active() {
-		changes, next, err := m.source.Watch(ctx, m.kind, at, watchWait+rand.N(watchSpread))
+		changes, next, err := m.source.Watch(ctx, m.kind, at, m.watchTime())
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			m.log.Emit(event.StoreHistoryGone, "kind", m.kind, "revision", at)
@@ -164,6 +165,11 @@
 	return nil
 }
 
+// watchTime returns how long the next watch takes.
+func (m *Mirror) watchTime() time.Duration {
+	return time.Duration(float64(m.opts.Wait) * (1 - watchSpread*rand.Float64()))
+}
+
 // list lists the kind within a time that grows with the tries that were not answered, in turns.
 func (m *Mirror) list(ctx context.Context) ([]Object, int64, error) {
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout<<(m.unanswered%listTurns))
--- a/internal/config/replica/replica.go
+++ b/internal/config/replica/replica.go
@@ -36,6 +36,9 @@
 	// probeInterval is the time between two tries at a store that no reader reaches, by all daemons together that are
 	// not chosen to read it.
 	probeInterval = 80 * time.Millisecond
+	// longestProbe bounds the mean time between two tries of one daemon, which may be the only one that reaches the
+	// store.
+	longestProbe = 4 * time.Second
 	// restless is how long after the store's return an entry may be missing without being gone.
 	restless = 2 * time.Second
 )
@@ -242,9 +245,9 @@
 	return !now.Before(r.nextProbe)
 }
 
-// probePause spreads the tries of the daemons so that their rate does not grow with the fleet.
+// probePause spreads the tries of the daemons so that their rate grows with the fleet only beyond longestProbe.
 func (r *Replica) probePause() time.Duration {
-	return rand.N(2 * time.Duration(max(1, r.opts.Live())) * probeInterval)
+	return rand.N(2 * min(time.Duration(max(1, r.opts.Live()))*probeInterval, longestProbe))
 }
 
 // Failed notes that the store did not answer; a daemon that is not chosen leaves the next tries to others.
@@ -268,6 +271,7 @@
 func (r *Replica) Run(ctx context.Context) error {
 	ticker := time.NewTicker(beaconInterval)
 	defer ticker.Stop()
+	stood := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -275,17 +279,23 @@
 		case <-ticker.C:
 		case <-r.complete:
 		}
+		chosen := r.opts.Chosen()
 		r.mu.Lock()
-		reading, digest, silent := r.reading, r.digest, time.Since(r.heard) > silence
+		digest, heard := r.digest, r.heard
+		stands := r.reading && !chosen && time.Since(heard) > silence
+		reads := r.reading && chosen || stands
 		r.mu.Unlock()
-		key := beaconPrefix + r.self
-		if !r.opts.Chosen() {
-			reading = reading && silent
-			key = beaconPrefix + substitute + r.self
+		if stands && !stood {
+			r.log.Emit(event.ReaderReplaced, "lastReaderHeard", heard)
 		}
-		if !reading {
+		stood = stands
+		if !reads {
 			continue
 		}
+		key := beaconPrefix + r.self
+		if stands {
+			key = beaconPrefix + substitute + r.self
+		}
 		if err := r.gossip.PublishOwn(key, &peerpb.TableDigest{Root: digest}); err != nil {
 			r.log.Emit(event.PeerMessageWrong, "error", err.Error())
 		}
--- a/internal/core/event/catalogue.go
+++ b/internal/core/event/catalogue.go
@@ -26,6 +26,7 @@
 	StoreReturned     = Event{201, "storeReturned", log.InfoLevel, "the store answers again", "none"}
 	StoreWentBack     = Event{202, "storeWentBack", log.ErrorLevel, "the store answered with an older version than was seen", "check the platform for a restored backup; the newer version stays in force"}
 	StoreHistoryGone  = Event{204, "storeHistoryGone", log.InfoLevel, "the store dropped the history that a watch asked for; the objects are listed again", "none"}
+	ReaderReplaced    = Event{205, "readerReplaced", log.InfoLevel, "this daemon reads the store for the others, since no reader is heard", "see which readers do not reach the store: 200 on the first daemons of each availability zone"}
 	StoreBudgetSpent  = Event{203, "storeBudgetSpent", log.WarnLevel, "the store's call budget is used up; calls wait", "raise storeCallRate or add daemons"}
 	VMListUnavailable = Event{210, "vmListUnavailable", log.WarnLevel, "the VM list does not answer", "check the platform; the last list stays in use"}
 
@@ -80,7 +81,7 @@
 // Catalogue lists every event by number.
 var Catalogue = []Event{
 	DaemonStarted, DaemonStopping, DaemonStopped, DaemonSuperseded, ServiceFailed, Reloaded, ReloadFailed,
-	StoreUnavailable, StoreReturned, StoreWentBack, StoreBudgetSpent, StoreHistoryGone, VMListUnavailable,
+	StoreUnavailable, StoreReturned, StoreWentBack, StoreBudgetSpent, StoreHistoryGone, ReaderReplaced, VMListUnavailable,
 	ConfigInForce, ConfigRefused, ConfigMissing, ConfigStale,
 	ServerEntry, ServerGone, ServerEntryUnreadable,
 	PeerConnected, PeerLost, PeerSuspected, PeerRejoined, PeerMessageWrong, PauseNoticed,
