--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -134,12 +134,12 @@
 		expected = h.lastAttempt.reservation.ExpectedTimeToFirstChunk().Milliseconds()
 	}
 	if err == nil {
-		r.log.Emit(event.RequestDone, "request", h.req.ID, "route", h.req.Route.Name, "revision", h.req.Revision,
+		r.log.Emit(event.RequestDone, "request", h.req.ID, "session", h.req.Session, "route", h.req.Route.Name, "revision", h.req.Revision,
 			"server", server, "version", version, "model", model, "expectedMs", expected, "status", h.status, "attempts", h.sentAttempts, "ms", took)
 		return
 	}
 	e := fault.As(err)
-	r.log.Emit(event.RequestFailed, "request", h.req.ID, "route", h.req.Route.Name, "revision", h.req.Revision,
+	r.log.Emit(event.RequestFailed, "request", h.req.ID, "session", h.req.Session, "route", h.req.Route.Name, "revision", h.req.Revision,
 		"server", server, "version", version, "model", model, "expectedMs", expected, "attempts", h.sentAttempts, "ms", took, "kind", string(e.Kind),
 		"outcome", string(e.Outcome), "begun", h.headersSent, "error", e.Error())
 }
