trial: failing test for sessions that a roll-out's order moves

Callers saw sessions on the new version in the first half of a roll-out though they had begun on the old one (PINNED).

--- a/internal/fleet/trial/service_test.go
+++ b/internal/fleet/trial/service_test.go
@@ -297,3 +297,50 @@
 		require.Equal(t, []registry.Server{oldServer}, eligible(f.services[0], "x", bothServers))
 	})
 }
+
+// serveSession sends one request of a session through a daemon and returns the server that it used.
+func serveSession(s *Service, session string) registry.Server {
+	srv := eligible(s, session, bothServers)[0]
+	s.Begin(srv)
+	s.End(srv)
+	return srv
+}
+
+// Guards against moving sessions that are under way when a roll-out starts.
+func TestSessionsUnderWayKeepTheirVersionInTheFirstHalfOfARollout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const sessions = 300
+		f := newFakeFleet(3)
+		serve := func(round int) map[string]string {
+			used := map[string]string{}
+			for i := range sessions {
+				session := fmt.Sprint("session", i)
+				used[session] = serveSession(f.services[(i+round)%len(f.services)], session).Version
+			}
+			return used
+		}
+		for i := range sessions {
+			srv := f.services[i%len(f.services)]
+			srv.Begin(oldServer)
+			srv.End(oldServer)
+		}
+		f.applyOrder(standardOrder)
+		for round := range 3 {
+			f.run(3*time.Second, nil)
+			for session, version := range serve(round) {
+				require.Equal(t, "v1", version, "%s %d s after the order", session, 3*(round+1))
+			}
+		}
+		newSessions := 0
+		for i := range sessions {
+			if serveSession(f.services[i%len(f.services)], fmt.Sprint("later", i)) == newServer {
+				newSessions++
+			}
+		}
+		require.Positive(t, newSessions, "sessions that start after the order show whether the target is worse")
+		f.run(12*time.Second, nil)
+		for session, version := range serve(0) {
+			require.Equal(t, "v2", version, "%s in the second half", session)
+		}
+	})
+}
