trial: sessions under way keep their version in the first half of a roll-out

Cause: a hash of the session alone decided whether it used the target. The hash is the same before and after the order, so the order moved the share of the sessions that were under way: about 7 in 100 of those whose next request came within sessionTtlS. Class of fault: a decision that has to last derived from current inputs alone, with no record of what was decided before.

Ruled out: daemons that disagree (no session went back), the fallback (no failed attempts before a move).

Change: each daemon keeps the sessions that it served in the last sessionTtlS, with their version. When an order arrives it publishes the hashes of those in the share, and all daemons hold them on the old version until sessions may move. The target gets sessions one second after the order, when the daemons have heard of each other's. A daemon that shuts down publishes its recent sessions, since a roll-out may start just after (TestSessionsOfADaemonThatLeftKeepTheirVersionInTheFirstHalfOfARollout; fails with the handler taken out).

Why it works: a session is held by each daemon that served it, and never released before all may move, so daemons agree whoever gets its next request.

--- a/internal/app/entry/daemon.go
+++ b/internal/app/entry/daemon.go
@@ -95,7 +95,9 @@
 	d.kernel.Add("configurationShare", share)
 	servers := registry.New(platform.DecodeServer, d.log)
 	d.kernel.Add("servers", servers)
-	trials := trial.New(d.processID, gossip, members, store, platform.DecodeRollout, d.cfg.Bounds.ExposureShare, d.log)
+	trials := trial.New(d.processID, gossip, members, store, platform.DecodeRollout, trial.Options{
+		ExposureShare: d.cfg.Bounds.ExposureShare, SessionLifetime: d.cfg.Bounds.SessionLifetime,
+	}, d.log)
 	d.kernel.Add("trials", trials)
 	isSeed := len(d.cfg.Seeds) == 0 || slices.Contains(d.cfg.Seeds, d.cfg.PeerAddress)
 	storeReplica := replica.New(d.processID, gossip, replica.Options{
@@ -111,7 +113,7 @@
 	addMirror(platform.KindConfig, share, mirror.Options{MaxBackoff: maxProbeBackoff, WatchTimeout: configWatchTimeout, Probes: true})
 	addMirror(platform.KindServers, storeReplica.Follow(platform.KindServers, servers), mirror.Options{BatchWindow: serverBatchWindow, MaxBackoff: maxIdleBackoff, WatchTimeout: watchTimeout})
 	addMirror(platform.KindRollouts, storeReplica.Follow(platform.KindRollouts, trials), mirror.Options{MaxBackoff: maxIdleBackoff, WatchTimeout: watchTimeout})
-	d.buildEdges(ls, &loadedTables{tables, storeReplica.Loaded()}, members, d.buildRouter(servers, trials, members))
+	d.buildEdges(ls, &loadedTables{tables, storeReplica.Loaded()}, members, trials, d.buildRouter(servers, trials, members))
 }
 
 const (
@@ -189,12 +191,12 @@
 	minConfidence = 50
 )
 
-func (d *Daemon) buildEdges(ls listeners, tables *loadedTables, members *member.Service, router *forward.Router) {
+func (d *Daemon) buildEdges(ls listeners, tables *loadedTables, members *member.Service, trials *trial.Service, router *forward.Router) {
 	m := metrics.New(d.cfg.ID)
 	directory := &entryDirectory{members: members, region: d.cfg.Region, zone: d.cfg.AvailabilityZone}
 	callerServer := ingress.New(ingress.Config{
 		Listener: ls.caller, Codec: platform.Codec{}, Router: router, Tables: tables,
-		Leave: func() { members.SetReady(false); members.Leave() }, ListLifetime: entryListLifetime, Grace: d.cfg.Bounds.Grace,
+		Leave: func() { members.SetReady(false); members.Leave(); trials.Leave() }, ListLifetime: entryListLifetime, Grace: d.cfg.Bounds.Grace,
 		Metrics: m.Scope, Log: d.log,
 	})
 	ready := func() bool { return tables.Current() != nil && !callerServer.Leaving() }
--- a/internal/decide/rollout/ramp.go
+++ b/internal/decide/rollout/ramp.go
@@ -36,6 +36,11 @@
 	}
 }
 
+// SessionsMayMove reports whether sessions that use the old version may move to the new one.
+func (r Ramp) SessionsMayMove(elapsed time.Duration) bool {
+	return r.elapsedFraction(elapsed) >= widenFraction
+}
+
 // MayComplete reports whether the old version may be retired; idle is true if it has no work left.
 func (r Ramp) MayComplete(elapsed time.Duration, idle bool) bool {
 	fraction := r.elapsedFraction(elapsed)
--- a/internal/fleet/trial/doc.go
+++ b/internal/fleet/trial/doc.go
@@ -2,8 +2,9 @@
 //
 // The platform orders that a service's traffic move to servers of a target version
 // within a time. In the first half of that time a small, fixed share of the sessions
-// uses the target. A hash of the session decides whether it is in the share, so daemons
-// agree without communicating and a session only ever moves forward to the target.
+// that begin after the order uses the target. A hash of the session decides whether it is
+// in the share. The daemons tell each other which sessions of the share used the old
+// version before, and those stay there until the second half, in which all sessions move.
 // Every daemon publishes its counts of good and bad responses and evaluates the sums of
 // the fleet. The first one to find the target worse publishes that, and all daemons stop
 // using the target at once. The live daemon of the lowest rank writes the state of the
--- a/internal/fleet/trial/service.go
+++ b/internal/fleet/trial/service.go
@@ -1,7 +1,9 @@
 package trial
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +21,8 @@
 
 const (
 	keyPrefix = "trial/"
+	// departurePrefix is the key prefix of the sessions of daemons that leave.
+	departurePrefix = "departure/"
 	// roundInterval is the time between two rounds; a bad version has to be stopped within seconds.
 	roundInterval = 250 * time.Millisecond
 	// takeoverDelay times its rank is how long a daemon waits for those of lower rank to write a state.
@@ -27,6 +31,9 @@
 	minWriteInterval = 700 * time.Millisecond
 	// firstHalfExposureFraction is the fraction of the allowed exposure that the first half of a roll-out uses.
 	firstHalfExposureFraction = 0.6
+	// settleTime is how long after its start no session uses the target: until then the daemons tell each other which
+	// sessions use the old version, in rounds that take roundInterval plus the time to reach all daemons.
+	settleTime = 4 * roundInterval
 )
 
 // Gossip publishes to the replicated fleet table and reads it.
@@ -62,14 +69,88 @@
 	// lastPublished is the encoded record without elapsed times.
 	lastPublished []byte
 	writing       bool
+	sessions      *recentSessions
+	departed      departedSessions
+	leaving       bool
 }
 
-// New returns the Service of the daemon self; exposure is the share of requests that a bad version may get.
-func New(self string, gossip Gossip, members Members, states StateWriter, decode func(mirror.Object) (Order, error), exposure float64, log *event.Log) *Service {
+// Options holds the bounds that the platform sets for roll-outs.
+type Options struct {
+	// ExposureShare is the share of requests that a bad version may get.
+	ExposureShare float64
+	// SessionLifetime is the longest pause between two requests of a session.
+	SessionLifetime time.Duration
+}
+
+// New returns the Service of the daemon self.
+func New(self string, gossip Gossip, members Members, states StateWriter, decode func(mirror.Object) (Order, error), opts Options, log *event.Log) *Service {
 	gossip.MarkFrequent(keyPrefix)
-	return &Service{
-		self: self, gossip: gossip, members: members, states: states, decode: decode, firstHalfShare: firstHalfExposureFraction * exposure,
+	s := &Service{
+		self: self, gossip: gossip, members: members, states: states, decode: decode, firstHalfShare: firstHalfExposureFraction * opts.ExposureShare,
 		log: log, rollouts: map[string]*serviceRollout{}, serviceByObject: map[string]string{},
+		sessions: newRecentSessions(opts.SessionLifetime), departed: departedSessions{},
+	}
+	gossip.Fleet().Subscribe(departurePrefix, s.handleDeparture)
+	return s
+}
+
+// Leave tells the other daemons, from now on, which sessions this daemon serves: if a roll-out starts, they would
+// otherwise take them for new ones.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.publishDeparture()
+}
+
+// publishDeparture publishes the sessions that this daemon serves, but for those on the target of a roll-out.
+func (s *Service) publishDeparture() {
+	s.mu.Lock()
+	now := time.Now()
+	rec := &peerpb.DepartureRecord{}
+	for service := range s.sessions.uses {
+		target := ""
+		if r := s.rollouts[service]; r != nil {
+			target = r.order.Target
+		}
+		rec.Sessions = append(rec.Sessions, sortedHashes(maps.Keys(s.sessions.onOtherVersion(service, target, now)))...)
+	}
+	s.mu.Unlock()
+	s.publishRecord(departurePrefix+s.self, rec)
+}
+
+// withdrawDeparture empties the record of publishDeparture, which the table keeps after this process has ended. The
+// other daemons have copied its sessions.
+func (s *Service) withdrawDeparture() {
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	if leaving {
+		s.publishRecord(departurePrefix+s.self, &peerpb.DepartureRecord{})
+	}
+}
+
+func (s *Service) publishRecord(key string, rec proto.Message) {
+	if err := s.gossip.PublishOwn(key, rec); err != nil {
+		s.log.Emit(event.PeerMessageWrong, "key", key, "error", err.Error())
+	}
+}
+
+// handleDeparture holds the sessions that a leaving daemon serves in the roll-outs of now and of the next while.
+func (s *Service) handleDeparture(r relay.Record) {
+	if r.Key == departurePrefix+s.self {
+		return
+	}
+	var rec peerpb.DepartureRecord
+	if err := proto.Unmarshal(r.Body, &rec); err != nil {
+		s.log.Emit(event.PeerMessageWrong, "key", r.Key, "error", err.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.departed.add(rec.GetSessions(), time.Now(), s.sessions.lifetime)
+	for _, ro := range s.rollouts {
+		ro.held.addOthers(rec.GetSessions())
 	}
 }
 
@@ -98,7 +179,10 @@
 	s.serviceByObject[obj.Name] = o.Service
 	r := s.rollouts[o.Service]
 	if r == nil || !r.order.sameRollout(o) {
-		r = newRollout(o, time.Now())
+		now := time.Now()
+		r = newRollout(o, now)
+		r.holdSessions(s.sessions, now, s.firstHalfShare)
+		r.held.addOthers(s.departed.current(now))
 		s.rollouts[o.Service] = r
 	}
 	if r.order.State != o.State || r.order.Revision == o.Revision {
@@ -107,16 +191,18 @@
 	r.order = o
 }
 
-// Eligible returns the servers that may take a request, and those that may if all of the preferred ones fail. The key
-// is the request's session ID, or its own ID without a session.
-func (s *Service) Eligible(service, key string, servers []registry.Server) (preferred, fallback []registry.Server) {
+// Eligible returns the servers that may take a request, and those that may if all of the preferred ones fail. A request
+// without a session counts as a session of its own.
+func (s *Service) Eligible(service, session, requestID string, servers []registry.Server) (preferred, fallback []registry.Server) {
 	s.mu.Lock()
 	r := s.rollouts[service]
 	if r == nil {
 		s.mu.Unlock()
 		return servers, nil
 	}
-	target, mayFallBack := r.useTarget(key, s.firstHalfShare, time.Now())
+	now := time.Now()
+	target, mayFallBack := r.useTarget(cmp.Or(session, requestID), s.firstHalfShare, now)
+	target = target && !s.keepsVersion(r, session, now)
 	version := r.order.Target
 	s.mu.Unlock()
 	preferred = filterVersion(servers, version, target)
@@ -142,6 +228,22 @@
 	}
 }
 
+// keepsVersion reports whether a session, or a request without one, may not use the target yet.
+func (s *Service) keepsVersion(r *serviceRollout, session string, now time.Time) bool {
+	if r.order.finished() || r.sessionsMayMove(now, s.firstHalfShare) {
+		return false
+	}
+	if r.elapsed(now) < settleTime {
+		return true
+	}
+	h := hashSession(r.order.Service, session)
+	if session == "" || r.held.contains(h) {
+		return session != ""
+	}
+	u := s.sessions.uses[r.order.Service][h]
+	return u != nil && u.version != r.order.Target && s.sessions.current(u, now)
+}
+
 // sessionPosition hashes a session to [0, 1), independently for each service and target.
 func sessionPosition(o Order, key string) float64 {
 	const bits = 53
@@ -158,20 +260,33 @@
 	return out
 }
 
-// Begin counts the start of an attempt at a server; End must follow.
-func (s *Service) Begin(srv registry.Server) { s.addOldInFlight(srv, 1) }
+// Begin counts the start of an attempt of a session at a server; End must follow. The session is empty for none.
+func (s *Service) Begin(srv registry.Server, session string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if session != "" {
+		s.sessions.begin(srv.Service, session, srv.Version, time.Now())
+	}
+	s.addOldInFlight(srv, 1)
+}
 
-func (s *Service) addOldInFlight(srv registry.Server, n int64) {
+// End counts the end of an attempt, whatever its result.
+func (s *Service) End(srv registry.Server, session string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if session != "" {
+		s.sessions.end(srv.Service, session, time.Now())
+	}
+	s.addOldInFlight(srv, -1)
+}
+
+// addOldInFlight counts an attempt at a server of another version than the target. Callers hold s.mu.
+func (s *Service) addOldInFlight(srv registry.Server, n int64) {
 	if r := s.rollouts[srv.Service]; r != nil && srv.Version != r.order.Target {
 		r.oldInFlight = max(0, r.oldInFlight+n)
 	}
 }
 
-// End counts the end of an attempt, whatever its result.
-func (s *Service) End(srv registry.Server) { s.addOldInFlight(srv, -1) }
-
 // Judge counts a response as good or bad. It is bad also if chunkTime, its mean time between chunks or its time to first
 // chunk, is much longer than the old version's usual one for responses of the same class; a chunkTime of 0 is not compared.
 func (s *Service) Judge(srv registry.Server, route, class string, bad bool, chunkTime time.Duration) {
@@ -189,6 +304,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			s.withdrawDeparture()
 			return nil
 		case <-ticker.C:
 			s.round(ctx)
@@ -202,12 +318,17 @@
 	s.mu.Lock()
 	now := time.Now()
 	rec := &peerpb.TrialRecord{}
+	leaving := s.leaving
 	for _, r := range s.rollouts {
 		if !r.order.finished() {
+			r.holdSessions(s.sessions, now, s.firstHalfShare)
 			rec.Services = append(rec.Services, r.toProto(now))
 		}
 	}
 	s.mu.Unlock()
+	if leaving {
+		s.publishDeparture()
+	}
 	if len(rec.GetServices()) == 0 {
 		return
 	}
@@ -229,9 +350,7 @@
 		return
 	}
 	s.lastPublished = body
-	if err := s.gossip.PublishOwn(keyPrefix+s.self, rec); err != nil {
-		s.log.Emit(event.PeerMessageWrong, "error", err.Error())
-	}
+	s.publishRecord(keyPrefix+s.self, rec)
 }
 
 // othersRecords returns what the other daemons published, by service.
@@ -270,6 +389,9 @@
 			return o.GetTarget() != r.order.Target || o.GetRevision() != r.order.Created
 		})
 		r.adoptEarliestStart(matching, now)
+		for _, o := range matching {
+			r.held.addOthers(o.GetHeldSessions())
+		}
 		before := r.worse
 		r.evaluateFleet(matching)
 		if r.worse && !before {
--- a/internal/fleet/trial/service_test.go
+++ b/internal/fleet/trial/service_test.go
@@ -108,7 +108,7 @@
 }
 
 func (f *fakeFleet) addDaemon(id string) *Service {
-	s := New(id, fakeGossip{f}, f, fakeStore{f, id}, decodeOrder, 0.15, event.Discard())
+	s := New(id, fakeGossip{f}, f, fakeStore{f, id}, decodeOrder, Options{ExposureShare: 0.15, SessionLifetime: 5 * time.Second}, event.Discard())
 	f.ids = append(f.ids, id)
 	f.services = append(f.services, s)
 	return s
@@ -144,7 +144,7 @@
 )
 
 func eligible(s *Service, key string, servers []registry.Server) []registry.Server {
-	preferred, _ := s.Eligible("s", key, servers)
+	preferred, _ := s.Eligible("s", key, key, servers)
 	return preferred
 }
 
@@ -155,9 +155,7 @@
 	return func(s *Service) {
 		for range n {
 			count++
-			srv := eligible(s, fmt.Sprint("session", count), bothServers)[0]
-			s.Begin(srv)
-			s.End(srv)
+			srv := serveSession(s, fmt.Sprint("session", count))
 			s.Judge(srv, "r", "r m", srv == newServer && fails(count), 10*time.Millisecond)
 		}
 	}
@@ -189,7 +187,7 @@
 		require.Equal(t, RolledBack, f.states[len(f.states)-1])
 		for _, s := range f.services {
 			require.Equal(t, []registry.Server{oldServer}, eligible(s, "x", bothServers))
-			preferred, fallback := s.Eligible("s", "x", []registry.Server{newServer})
+			preferred, fallback := s.Eligible("s", "x", "x", []registry.Server{newServer})
 			require.Empty(t, append(preferred, fallback...), "better no server than a bad one")
 		}
 	})
@@ -301,8 +299,8 @@
 // serveSession sends one request of a session through a daemon and returns the server that it used.
 func serveSession(s *Service, session string) registry.Server {
 	srv := eligible(s, session, bothServers)[0]
-	s.Begin(srv)
-	s.End(srv)
+	s.Begin(srv, session)
+	s.End(srv, session)
 	return srv
 }
 
@@ -321,8 +319,8 @@
 		}
 		for i := range sessions {
 			srv := f.services[i%len(f.services)]
-			srv.Begin(oldServer)
-			srv.End(oldServer)
+			srv.Begin(oldServer, fmt.Sprint("session", i))
+			srv.End(oldServer, fmt.Sprint("session", i))
 		}
 		f.applyOrder(standardOrder)
 		for round := range 3 {
@@ -344,3 +342,21 @@
 		}
 	})
 }
+
+// Guards against moving sessions whose daemon shut down shortly before a roll-out started.
+func TestSessionsOfADaemonThatLeftKeepTheirVersionInTheFirstHalfOfARollout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(2)
+		for i := range 300 {
+			serveSession(f.services[0], fmt.Sprint("session", i))
+		}
+		f.services[0].Leave()
+		f.run(time.Second, nil)
+		f.dead["d0"] = true
+		f.applyOrder(standardOrder)
+		f.run(3*time.Second, nil)
+		for i := range 300 {
+			require.Equal(t, oldServer, serveSession(f.services[1], fmt.Sprint("session", i)))
+		}
+	})
+}
--- a/internal/fleet/trial/trial.go
+++ b/internal/fleet/trial/trial.go
@@ -30,10 +30,14 @@
 	fleetCounts       routeCounts
 	// fleetOldInFlight is the number of the fleet's attempts in flight at servers of other versions.
 	fleetOldInFlight int64
+	held             heldSessions
 }
 
 func newRollout(o Order, now time.Time) *serviceRollout {
-	return &serviceRollout{order: o, startedAt: now, ownCounts: routeCounts{}, baselines: map[string]*durationBaseline{}, fleetCounts: routeCounts{}}
+	return &serviceRollout{
+		order: o, startedAt: now, ownCounts: routeCounts{}, baselines: map[string]*durationBaseline{}, fleetCounts: routeCounts{},
+		held: newHeldSessions(),
+	}
 }
 
 func (r *serviceRollout) elapsed(now time.Time) time.Duration { return now.Sub(r.startedAt) }
@@ -42,6 +46,24 @@
 	return rollout.Ramp{Duration: r.order.Duration, FirstShare: firstHalfShare}
 }
 
+// sessionsMayMove reports whether sessions may move to the target version.
+func (r *serviceRollout) sessionsMayMove(now time.Time, firstHalfShare float64) bool {
+	return r.ramp(firstHalfShare).SessionsMayMove(r.elapsed(now))
+}
+
+// holdSessions holds the sessions that use the old version and that the share would move to the target.
+func (r *serviceRollout) holdSessions(sessions *recentSessions, now time.Time, firstHalfShare float64) {
+	if r.sessionsMayMove(now, firstHalfShare) {
+		r.held = newHeldSessions()
+		return
+	}
+	for h, u := range sessions.onOtherVersion(r.order.Service, r.order.Target, now) {
+		if sessionPosition(r.order, u.id) < firstHalfShare {
+			r.held.own[h] = true
+		}
+	}
+}
+
 // countResponse counts a response as good or bad; a slow one counts as bad. See [Service.Judge] for the parameters.
 func (r *serviceRollout) countResponse(target bool, route, class string, bad bool, chunkTime time.Duration) {
 	if !bad && chunkTime > 0 {
@@ -61,7 +83,7 @@
 func (r *serviceRollout) toProto(now time.Time) *peerpb.ServiceTrial {
 	return &peerpb.ServiceTrial{
 		Service: r.order.Service, Target: r.order.Target, Revision: r.order.Created, ElapsedMs: r.elapsed(now).Milliseconds(),
-		Worse: r.worse, Routes: r.ownCounts.toProto(), OldInFlight: r.oldInFlight,
+		Worse: r.worse, Routes: r.ownCounts.toProto(), OldInFlight: r.oldInFlight, HeldSessions: r.held.toProto(),
 	}
 }
 
--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -23,11 +22,12 @@
 
 // Versions selects the servers that may take a request by their version, and compares versions by their responses.
 type Versions interface {
-	// Eligible returns the servers that may take a request, and those to use if all of them fail; key is the ID of the
-	// request's session, or of the request if it has none.
-	Eligible(service, key string, servers []registry.Server) (first, fallback []registry.Server)
-	Begin(s registry.Server)
-	End(s registry.Server)
+	// Eligible returns the servers that may take a request, and those to use if all of them fail; session is empty for a
+	// request without one.
+	Eligible(service, session, requestID string, servers []registry.Server) (first, fallback []registry.Server)
+	// Begin and End enclose an attempt of a request of a session.
+	Begin(s registry.Server, session string)
+	End(s registry.Server, session string)
 	// Judge records a response; chunkTime, its mean time between chunks or its time to first chunk, is compared with that
 	// of other responses of the same class.
 	Judge(s registry.Server, route, class string, bad bool, chunkTime time.Duration)
@@ -128,19 +128,20 @@
 // logResult logs the result of a request in one line.
 func (r *Router) logResult(h *handler, err error) {
 	took := time.Since(h.req.Arrived).Milliseconds()
-	server, version, model, expected := "", "", "", int64(0)
-	if h.lastAttempt != nil {
-		server, version, model = h.lastAttempt.server.ID, h.lastAttempt.server.Version, h.lastAttempt.model
-		expected = h.lastAttempt.reservation.ExpectedTimeToFirstChunk().Milliseconds()
+	server, version, model, expected, firstChunk, chunks := "", "", "", int64(0), int64(0), 0
+	if a := h.lastAttempt; a != nil {
+		server, version, model = a.server.ID, a.server.Version, a.model
+		expected = a.reservation.ExpectedTimeToFirstChunk().Milliseconds()
+		firstChunk, chunks = a.timeToFirstChunk.Milliseconds(), a.eventCount
 	}
 	if err == nil {
 		r.log.Emit(event.RequestDone, "request", h.req.ID, "session", h.req.Session, "route", h.req.Route.Name, "revision", h.req.Revision,
-			"server", server, "version", version, "model", model, "expectedMs", expected, "status", h.status, "attempts", h.sentAttempts, "ms", took)
+			"server", server, "version", version, "model", model, "expectedMs", expected, "firstChunkMs", firstChunk, "chunks", chunks, "status", h.status, "attempts", h.sentAttempts, "ms", took)
 		return
 	}
 	e := fault.As(err)
 	r.log.Emit(event.RequestFailed, "request", h.req.ID, "session", h.req.Session, "route", h.req.Route.Name, "revision", h.req.Revision,
-		"server", server, "version", version, "model", model, "expectedMs", expected, "attempts", h.sentAttempts, "ms", took, "kind", string(e.Kind),
+		"server", server, "version", version, "model", model, "expectedMs", expected, "firstChunkMs", firstChunk, "chunks", chunks, "attempts", h.sentAttempts, "ms", took, "kind", string(e.Kind),
 		"outcome", string(e.Outcome), "begun", h.headersSent, "error", e.Error())
 }
 
@@ -194,7 +195,7 @@
 	defer a.stopStallTimer()
 	h.lastAttempt = a
 	h.totalAttempts++
-	h.router.versions.Begin(server)
+	h.router.versions.Begin(server, h.req.Session)
 	h.router.counts.attempts.Add(1)
 	h.sentAttempts++ // startStallTimer must see the attempt about to be sent as already counted
 	a.startStallTimer(a.firstChunkTimeout())
@@ -217,7 +218,7 @@
 func (h *handler) reserve(model string) (registry.Server, *place.Reservation, error) {
 	req := h.req
 	all := h.router.servers.View().ServersOf(req.Service)
-	first, fallback := h.router.versions.Eligible(req.Service, cmp.Or(req.Session, req.ID), all)
+	first, fallback := h.router.versions.Eligible(req.Service, req.Session, req.ID, all)
 	if server, reservation := h.reserveAmong(first, model); reservation != nil {
 		return server, reservation, nil
 	}
@@ -261,7 +262,7 @@
 // expectedInTime reports whether the first chunk of a model's response is expected within the route's target latency.
 func (h *handler) expectedInTime(model string) bool {
 	req := h.req
-	first, _ := h.router.versions.Eligible(req.Service, cmp.Or(req.Session, req.ID), h.router.servers.View().ServersOf(req.Service))
+	first, _ := h.router.versions.Eligible(req.Service, req.Session, req.ID, h.router.servers.View().ServersOf(req.Service))
 	expected, ok := h.router.chooser.ExpectedTimeToFirstChunk(h.query(first, model), time.Now())
 	return ok && time.Since(req.Arrived)+expected < req.Route.TargetLatency
 }
@@ -277,7 +278,7 @@
 	a.cancel()
 	r := a.handler.router
 	r.chooser.Release(a.reservation, o, time.Now())
-	r.versions.End(a.server)
+	r.versions.End(a.server, a.handler.req.Session)
 	if o == place.Refused || o == place.Ignored || !a.sent {
 		return
 	}
--- a/internal/route/forward/router_test.go
+++ b/internal/route/forward/router_test.go
@@ -60,11 +60,11 @@
 // allEligible lets every server take every request.
 type allEligible struct{}
 
-func (allEligible) Eligible(_, _ string, s []registry.Server) (first, fallback []registry.Server) {
+func (allEligible) Eligible(_, _, _ string, s []registry.Server) (first, fallback []registry.Server) {
 	return s, nil
 }
-func (allEligible) Begin(registry.Server)                                      {}
-func (allEligible) End(registry.Server)                                        {}
+func (allEligible) Begin(registry.Server, string)                              {}
+func (allEligible) End(registry.Server, string)                                {}
 func (allEligible) Judge(registry.Server, string, string, bool, time.Duration) {}
 func decodeServer(o mirror.Object) (registry.Server, error) {
 	return registry.Server{ID: o.Name, Service: "s", Address: o.Name, AvailabilityZone: "a", Slots: 8}, nil
