--- a/internal/fleet/trial/service_test.go
+++ b/internal/fleet/trial/service_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -360,3 +362,43 @@
 		}
 	})
 }
+
+// Guards against completing a version whose slowness is hidden by the load of the old version's servers.
+func TestSlowVersionOnIdleServersIsRolledBackInTheFirstHalf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(6)
+		f.applyOrder(standardOrder)
+		rng := rand.New(rand.NewPCG(1, 2))
+		f.run(12*time.Second, sendStreams(rng, 85*time.Millisecond))
+		require.Equal(t, RolledBack, f.states[len(f.states)-1])
+	})
+}
+
+// Guards against stopping a version that is as fast as the old one.
+func TestVersionAsFastAsTheOldOneCompletes(t *testing.T) {
+	for seed := range uint64(50) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeFleet(6)
+			f.applyOrder(standardOrder)
+			f.run(24*time.Second, sendStreams(rand.New(rand.NewPCG(seed, 3)), 45*time.Millisecond))
+			require.Equal(t, Completed, f.states[len(f.states)-1], "seed %d", seed)
+		})
+	}
+}
+
+// sendStreams returns a function that sends streams of new sessions through a daemon, three a round. The median time
+// between events is 45 ms at the old version, whose servers are loaded.
+func sendStreams(rng *rand.Rand, targetMedian time.Duration) func(s *Service) {
+	const oldMedian, spread = 45 * time.Millisecond, 0.5
+	return func(s *Service) {
+		for range 3 {
+			srv := serveSession(s, fmt.Sprint("session", rng.Uint64()))
+			median := oldMedian
+			if srv == newServer {
+				median = targetMedian
+			}
+			gap := time.Duration(float64(median) * math.Exp(spread*rng.NormFloat64()))
+			s.Judge(srv, "r", "r m", false, gap)
+		}
+	}
+}
