trial: compare the speeds of streams before they end

Cause: a response counted as slow above 4 times the old version's mean time between events. The old servers run full batches and the new ones are nearly idle, so that several times slower per token is 2 to 3 times the old mean. And only ended streams counted, while half of the slow ones had not ended when the share rose. Class of fault: evidence biased by what it is compared with (load) and by what is not yet seen (censored observations).

Ruled out: too few samples on the small sites; on the grown ones a daemon alone would not have had them.

Change: each stream is judged once, after 8 events, as fast or slow against the mean of the old version over the fleet; the shares of slow streams of both versions are compared by the same sequential test, with a tenth of its error rate and a tolerance of 0.1. This ends when the old version gets no new sessions, since its servers are idle then. The factor 4 stays for responses as a whole. Daemons publish their means when the samples have doubled.

Why it works: the share of the old version's own slow streams is the baseline, so its load cancels out, and a new version may only be less loaded while both serve.

--- a/internal/fleet/trial/counts.go
+++ b/internal/fleet/trial/counts.go
@@ -1,49 +1,36 @@
 package trial
 
 import (
-	"math"
 	"slices"
-	"time"
 
 	"github.com/pollencourse/pollencourse/internal/decide/rollout"
 	"github.com/pollencourse/pollencourse/internal/fleet/peerpb"
 )
 
-const (
-	// slowDurationRatio is the multiple of the old version's usual chunk time above which a response counts as bad.
-	slowDurationRatio = 4.0
-	// minSmoothingWeight is the least weight of a new sample in the moving average, which is a plain mean while
-	// 1/samples is higher.
-	minSmoothingWeight = 0.05
-	// minBaselineSamples is the number of samples below which no response counts as slow.
-	minBaselineSamples = 8
-)
-
-// durationBaseline is a moving average of the logarithm of the old version's chunk times, in seconds. Times below 1 µs
-// count as 1 µs, since 0 has no logarithm.
-type durationBaseline struct {
-	meanLogSeconds float64
-	samples        int
+// routeComparison compares both versions on one route.
+type routeComparison struct {
+	// Results counts good and bad responses.
+	Results rollout.Comparison
+	// Speeds counts fast streams as good and slow ones as bad.
+	Speeds rollout.Comparison
 }
 
-func (b *durationBaseline) observe(d time.Duration) {
-	l := math.Log(max(d.Seconds(), 1e-6))
-	if b.samples++; b.samples == 1 {
-		b.meanLogSeconds = l
-		return
-	}
-	b.meanLogSeconds += max(minSmoothingWeight, 1/float64(b.samples)) * (l - b.meanLogSeconds)
-}
+// routeCounts counts the responses of both versions by route.
+type routeCounts map[string]routeComparison
 
-func (b *durationBaseline) isSlow(d time.Duration) bool {
-	return b.samples >= minBaselineSamples && math.Log(max(d.Seconds(), 1e-6)) > b.meanLogSeconds+math.Log(slowDurationRatio)
+func (counts routeCounts) addResult(route string, target, bad bool) {
+	c := counts[route]
+	addResponse(&c.Results, target, bad)
+	counts[route] = c
 }
 
-// routeCounts counts the responses of both versions by route.
-type routeCounts map[string]rollout.Comparison
-
-func (counts routeCounts) add(route string, target, bad bool) {
+func (counts routeCounts) addSpeed(route string, target, slow bool) {
 	c := counts[route]
+	addResponse(&c.Speeds, target, slow)
+	counts[route] = c
+}
+
+func addResponse(c *rollout.Comparison, target, bad bool) {
 	side := &c.Old
 	if target {
 		side = &c.New
@@ -53,16 +40,19 @@
 	} else {
 		side.Good++
 	}
-	counts[route] = c
 }
 
 func (counts routeCounts) merge(routes []*peerpb.RouteTrial) {
 	for _, r := range routes {
 		c := counts[r.GetRoute()]
-		c.New.Good += float64(r.GetNewGood())
-		c.New.Bad += float64(r.GetNewBad())
-		c.Old.Good += float64(r.GetOldGood())
-		c.Old.Bad += float64(r.GetOldBad())
+		c.Results.New.Good += float64(r.GetNewGood())
+		c.Results.New.Bad += float64(r.GetNewBad())
+		c.Results.Old.Good += float64(r.GetOldGood())
+		c.Results.Old.Bad += float64(r.GetOldBad())
+		c.Speeds.New.Good += float64(r.GetNewFast())
+		c.Speeds.New.Bad += float64(r.GetNewSlow())
+		c.Speeds.Old.Good += float64(r.GetOldFast())
+		c.Speeds.Old.Bad += float64(r.GetOldSlow())
 		counts[r.GetRoute()] = c
 	}
 }
@@ -71,7 +61,9 @@
 	out := make([]*peerpb.RouteTrial, 0, len(counts))
 	for route, c := range counts {
 		out = append(out, &peerpb.RouteTrial{
-			Route: route, NewGood: int64(c.New.Good), NewBad: int64(c.New.Bad), OldGood: int64(c.Old.Good), OldBad: int64(c.Old.Bad),
+			Route:   route,
+			NewGood: int64(c.Results.New.Good), NewBad: int64(c.Results.New.Bad), OldGood: int64(c.Results.Old.Good), OldBad: int64(c.Results.Old.Bad),
+			NewFast: int64(c.Speeds.New.Good), NewSlow: int64(c.Speeds.New.Bad), OldFast: int64(c.Speeds.Old.Good), OldSlow: int64(c.Speeds.Old.Bad),
 		})
 	}
 	slices.SortFunc(out, func(a, b *peerpb.RouteTrial) int {
@@ -83,13 +75,21 @@
 	return out
 }
 
-// since returns a comparison for each route and one over all routes. They hold the new version's responses after the
-// earlier counts and all responses of the old version, which is the baseline.
-func (counts routeCounts) since(earlier routeCounts) []rollout.Comparison {
+// resultsSince and speedsSince return a comparison for each route and one over all routes. They hold the new version's
+// responses after the earlier counts and all responses of the old version, which is the baseline.
+func (counts routeCounts) resultsSince(earlier routeCounts) []rollout.Comparison {
+	return counts.since(earlier, func(c routeComparison) rollout.Comparison { return c.Results })
+}
+
+func (counts routeCounts) speedsSince(earlier routeCounts) []rollout.Comparison {
+	return counts.since(earlier, func(c routeComparison) rollout.Comparison { return c.Speeds })
+}
+
+func (counts routeCounts) since(earlier routeCounts, part func(routeComparison) rollout.Comparison) []rollout.Comparison {
 	var out []rollout.Comparison
 	var sum rollout.Comparison
-	for route, c := range counts {
-		e := earlier[route]
+	for route := range counts {
+		c, e := part(counts[route]), part(earlier[route])
 		d := rollout.Comparison{
 			New: rollout.Responses{Good: c.New.Good - e.New.Good, Bad: c.New.Bad - e.New.Bad},
 			Old: c.Old,
--- a/internal/fleet/trial/service.go
+++ b/internal/fleet/trial/service.go
@@ -293,7 +293,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r := s.rollouts[srv.Service]; r != nil && !r.order.finished() {
-		r.countResponse(srv.Version == r.order.Target, route, class, bad, chunkTime)
+		r.countResponse(srv.Version == r.order.Target, route, class, bad, chunkTime, r.bothServe(time.Now(), s.firstHalfShare))
+	}
+}
+
+// JudgeSpeed counts a stream as fast or slow by its mean time between chunks so far. It is called once a stream, before
+// the stream's end: slow streams end late, so that the ended ones would show a slow version too late.
+func (s *Service) JudgeSpeed(srv registry.Server, route, class string, chunkTime time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.rollouts[srv.Service]; r != nil && !r.order.finished() && r.bothServe(time.Now(), s.firstHalfShare) {
+		r.countSpeed(srv.Version == r.order.Target, route, class, chunkTime)
 	}
 }
 
--- a/internal/fleet/trial/service_test.go
+++ b/internal/fleet/trial/service_test.go
@@ -398,6 +398,7 @@
 				median = targetMedian
 			}
 			gap := time.Duration(float64(median) * math.Exp(spread*rng.NormFloat64()))
+			s.JudgeSpeed(srv, "r", "r m", gap)
 			s.Judge(srv, "r", "r m", false, gap)
 		}
 	}
--- a/internal/fleet/trial/trial.go
+++ b/internal/fleet/trial/trial.go
@@ -15,8 +15,7 @@
 	order     Order
 	startedAt time.Time
 	ownCounts routeCounts
-	// baselines holds the old version's usual chunk times by class.
-	baselines map[string]*durationBaseline
+	times     classTimes
 	// oldInFlight is the number of this daemon's attempts in flight at servers of other versions.
 	oldInFlight int64
 	// worse is true once any daemon has found the target worse than the old version.
@@ -35,7 +34,7 @@
 
 func newRollout(o Order, now time.Time) *serviceRollout {
 	return &serviceRollout{
-		order: o, startedAt: now, ownCounts: routeCounts{}, baselines: map[string]*durationBaseline{}, fleetCounts: routeCounts{},
+		order: o, startedAt: now, ownCounts: routeCounts{}, times: newClassTimes(), fleetCounts: routeCounts{},
 		held: newHeldSessions(),
 	}
 }
@@ -64,26 +63,36 @@
 	}
 }
 
-// countResponse counts a response as good or bad; a slow one counts as bad. See [Service.Judge] for the parameters.
-func (r *serviceRollout) countResponse(target bool, route, class string, bad bool, chunkTime time.Duration) {
+// countResponse counts a response as good or bad; a far too slow one counts as bad. See [Service.Judge] for the
+// parameters.
+func (r *serviceRollout) countResponse(target bool, route, class string, bad bool, chunkTime time.Duration, bothServe bool) {
 	if !bad && chunkTime > 0 {
-		baseline := r.baselines[class]
-		if baseline == nil {
-			baseline = &durationBaseline{}
-			r.baselines[class] = baseline
-		}
-		bad = baseline.isSlow(chunkTime)
-		if !target {
-			baseline.observe(chunkTime)
+		bad, _ = r.times.exceeds(class, chunkTime, badTimeRatio)
+		if !target && bothServe {
+			r.times.observe(class, chunkTime)
 		}
 	}
-	r.ownCounts.add(route, target, bad)
+	r.ownCounts.addResult(route, target, bad)
+}
+
+// countSpeed counts a stream as fast or slow.
+func (r *serviceRollout) countSpeed(target bool, route, class string, chunkTime time.Duration) {
+	if slow, ok := r.times.exceeds(class, chunkTime, slowTimeRatio); ok {
+		r.ownCounts.addSpeed(route, target, slow)
+	}
+}
+
+// bothServe reports whether the old version still takes new sessions. Later it is idle, and its times say nothing about
+// those of the new one under load.
+func (r *serviceRollout) bothServe(now time.Time, firstHalfShare float64) bool {
+	return r.ramp(firstHalfShare).Share(r.elapsed(now)) < 1
 }
 
 func (r *serviceRollout) toProto(now time.Time) *peerpb.ServiceTrial {
 	return &peerpb.ServiceTrial{
 		Service: r.order.Service, Target: r.order.Target, Revision: r.order.Created, ElapsedMs: r.elapsed(now).Milliseconds(),
 		Worse: r.worse, Routes: r.ownCounts.toProto(), OldInFlight: r.oldInFlight, HeldSessions: r.held.toProto(),
+		ClassTimes: r.times.toProto(),
 	}
 }
 
@@ -97,11 +106,13 @@
 		r.fleetOldInFlight += o.GetOldInFlight()
 		r.worse = r.worse || o.GetWorse()
 	}
+	r.times.replaceOthers(others)
 	earlier := routeCounts{}
 	if len(r.recentFleetCounts) > 0 {
 		earlier = r.recentFleetCounts[0]
 	}
-	r.worse = r.worse || rollout.Regressed(r.fleetCounts.since(routeCounts{}), r.fleetCounts.since(earlier))
+	r.worse = r.worse || rollout.Regressed(r.fleetCounts.resultsSince(routeCounts{}), r.fleetCounts.resultsSince(earlier)) ||
+		rollout.Slower(r.fleetCounts.speedsSince(routeCounts{}), r.fleetCounts.speedsSince(earlier))
 	r.recentFleetCounts = append(r.recentFleetCounts, r.fleetCounts)
 	if len(r.recentFleetCounts) > recentWindowRounds {
 		r.recentFleetCounts = r.recentFleetCounts[1:]
--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -31,6 +31,8 @@
 	// Judge records a response; chunkTime, its mean time between chunks or its time to first chunk, is compared with that
 	// of other responses of the same class.
 	Judge(s registry.Server, route, class string, bad bool, chunkTime time.Duration)
+	// JudgeSpeed records the mean time between chunks of a stream, once for each stream.
+	JudgeSpeed(s registry.Server, route, class string, chunkTime time.Duration)
 }
 
 // Models chooses among the models of a route.
@@ -282,6 +284,9 @@
 	if o == place.Refused || o == place.Ignored || !a.sent {
 		return
 	}
+	if a.complete && a.eventCount >= minEventsForGapTime && a.eventCount < speedSampleEvents {
+		a.judgeSpeed()
+	}
 	class, chunkTime := a.chunkTime()
 	r.versions.Judge(a.server, a.handler.req.Route.Name, class, o != place.Success, chunkTime)
 }
@@ -296,15 +301,32 @@
 // fewer is judged by its time to first chunk.
 const minEventsForGapTime = 4
 
+// speedSampleEvents is the number of events after which a stream is judged by its speed; one with fewer is judged when
+// it ends.
+const speedSampleEvents = 8
+
+// judgeSpeed records the mean time between the events received so far.
+func (a *attempt) judgeSpeed() {
+	req := a.handler.req
+	a.handler.router.versions.JudgeSpeed(a.server, req.Route.Name, a.class(), a.meanGap())
+}
+
+func (a *attempt) class() string { return a.handler.req.Route.Name + " " + a.model }
+
+// meanGap returns the mean time between events; there must be two at least.
+func (a *attempt) meanGap() time.Duration {
+	return (time.Since(a.startedAt) - a.timeToFirstChunk) / time.Duration(a.eventCount-1)
+}
+
 // chunkTime returns the mean time between events, or the time to first chunk, and the class of responses that it is
 // comparable with; the time is 0 if the response was not read to its end.
 func (a *attempt) chunkTime() (class string, chunkTime time.Duration) {
-	class = a.handler.req.Route.Name + " " + a.model
+	class = a.class()
 	switch {
 	case !a.complete:
 		return class, 0
 	case a.eventCount >= minEventsForGapTime:
-		return class, (time.Since(a.startedAt) - a.timeToFirstChunk) / time.Duration(a.eventCount-1)
+		return class, a.meanGap()
 	default:
 		return class + " first", a.timeToFirstChunk
 	}
--- a/internal/route/forward/router_test.go
+++ b/internal/route/forward/router_test.go
@@ -65,6 +65,7 @@
 }
 func (allEligible) Begin(registry.Server, string)                              {}
 func (allEligible) End(registry.Server, string)                                {}
+func (allEligible) JudgeSpeed(registry.Server, string, string, time.Duration)  {}
 func (allEligible) Judge(registry.Server, string, string, bool, time.Duration) {}
 func decodeServer(o mirror.Object) (registry.Server, error) {
 	return registry.Server{ID: o.Name, Service: "s", Address: o.Name, AvailabilityZone: "a", Slots: 8}, nil
@@ -436,3 +437,58 @@
 		})
 	}
 }
+
+// speedRecorder records the speeds of streams and when they were judged.
+type speedRecorder struct {
+	allEligible
+	judgedAt []time.Time
+	gaps     []time.Duration
+}
+
+func (r *speedRecorder) JudgeSpeed(_ registry.Server, _, _ string, chunkTime time.Duration) {
+	r.judgedAt, r.gaps = append(r.judgedAt, time.Now()), append(r.gaps, chunkTime)
+}
+
+// Guards against judging slow streams only at their end, when a slow version already has most of the sessions.
+func TestAStreamIsJudgedByItsSpeedBeforeItEnds(t *testing.T) {
+	for _, tc := range []struct {
+		events    int
+		judgedAt  time.Duration
+		judgments int
+	}{
+		{events: 2},
+		{events: 5, judgedAt: 800 * time.Millisecond, judgments: 1},
+		{events: 40, judgedAt: 1400 * time.Millisecond, judgments: 1},
+	} {
+		t.Run(fmt.Sprint(tc.events, " events"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const gap = 200 * time.Millisecond
+				body, stream := io.Pipe()
+				up := &fakeUpstream{script: func(context.Context, int, Attempt) (*Response, *Failure) {
+					go func() {
+						for n := range tc.events {
+							if n > 0 {
+								time.Sleep(gap)
+							}
+							fmt.Fprintf(stream, "id: %d\ndata: x\n\n", n+1)
+						}
+						stream.Close()
+					}()
+					r := response(200, "")
+					r.Body = body
+					return r, nil
+				}}
+				router := newTestRouter(up, 2)
+				speeds := &speedRecorder{}
+				router.versions = speeds
+				startedAt := time.Now()
+				require.NoError(t, router.Serve(context.Background(), request(routing.Streaming), httptest.NewRecorder()))
+				require.Len(t, speeds.gaps, tc.judgments)
+				for i := range speeds.gaps {
+					require.Equal(t, gap, speeds.gaps[i])
+					require.Equal(t, tc.judgedAt, speeds.judgedAt[i].Sub(startedAt))
+				}
+			})
+		})
+	}
+}
--- a/internal/route/forward/watch.go
+++ b/internal/route/forward/watch.go
@@ -99,6 +99,9 @@
 // chunkReceived records a chunk of the stream, that is, one event.
 func (a *attempt) chunkReceived() {
 	a.eventCount++
+	if a.eventCount == speedSampleEvents {
+		a.judgeSpeed()
+	}
 	a.stall.serverChunks.Store(a.handler.router.chooser.CountChunks(a.reservation, 1))
 }
 
