forward, platform: end responses that have no end

With a server that sends bytes without end, on the code before: 10 MiB of a head were read for each attempt; 1 MiB of a line without an end was kept for each stream; events without an ID, and one event again and again, were passed on to the caller for as long as they came (2 s of a test's limit), as a complete answer at the end.

Cause: net/http bounds a response's head at 10 MiB by default; the bound of an event was that of a body; the order of events was never checked. Class of fault: input of a peer that is bounded by what a good peer sends, or per request only.

TestOnlyAFewLargeBodiesAreReadAtATime covers the sum over requests.

Why it works: every read from a server is bounded in bytes, by attempt and over attempts, and nothing is passed on that can't follow what was passed on before.

--- a/internal/route/forward/call.go
+++ b/internal/route/forward/call.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -13,8 +14,14 @@
 	"github.com/pollencourse/pollencourse/internal/decide/place"
 )
 
-// maxBufferedBytes bounds the response body that is buffered; an attempt with a larger one fails.
-const maxBufferedBytes = 1 << 20
+const (
+	// maxBufferedBytes bounds the response body that is buffered; an attempt with a larger one fails.
+	maxBufferedBytes = 1 << 20
+	// smallBodyBytes is the size up to which any number of bodies are read at a time; maxLargeReads bounds the number of
+	// larger ones, so that bodies without end don't exhaust the memory.
+	smallBodyBytes = 64 << 10
+	maxLargeReads  = 8
+)
 
 // streams reports whether the response is a stream of events.
 func (r *Request) streams() bool { return r.Route.Kind == "streaming" }
@@ -29,7 +36,7 @@
 		var body []byte
 		if f == nil {
 			a.startStallTimer(a.firstChunkTimeout())
-			if body, f = readBody(ctx, resp); f != nil {
+			if body, f = h.router.readBody(ctx, resp); f != nil {
 				f = a.classify(ctx, f)
 			}
 			a.stopStallTimer()
@@ -52,9 +59,12 @@
 }
 
 // readBody reads a response body of at most maxBufferedBytes.
-func readBody(ctx context.Context, resp *Response) ([]byte, *Failure) {
+func (r *Router) readBody(ctx context.Context, resp *Response) ([]byte, *Failure) {
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, smallBodyBytes+1))
+	if err == nil && len(body) > smallBodyBytes {
+		body, err = r.readLargeBody(ctx, body, resp.Body)
+	}
 	switch {
 	case err != nil:
 		return nil, bodyFailure(ctx, err)
@@ -65,6 +75,19 @@
 	}
 }
 
+// readLargeBody reads the rest of a body that begins with start.
+func (r *Router) readLargeBody(ctx context.Context, start []byte, rest io.Reader) ([]byte, error) {
+	select {
+	case r.largeReads <- struct{}{}:
+		defer func() { <-r.largeReads }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	buf := bytes.NewBuffer(start)
+	_, err := buf.ReadFrom(io.LimitReader(rest, int64(maxBufferedBytes+1-len(start))))
+	return buf.Bytes(), err
+}
+
 // bodyFailure classifies an error that occurred while a response body was read.
 func bodyFailure(ctx context.Context, err error) *Failure {
 	switch {
--- a/internal/route/forward/events.go
+++ b/internal/route/forward/events.go
@@ -4,12 +4,13 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream; an event has a few hundred bytes.
+const maxEventBytes = 64 << 10
 
 // eventReader splits a stream into complete events.
 type eventReader struct {
@@ -17,7 +18,7 @@
 	buf []byte
 }
 
-// readBufferBytes is the size of a stream's read buffer; an event has a few hundred bytes.
+// readBufferBytes is the size of a stream's read buffer.
 const readBufferBytes = 4 << 10
 
 func newEventReader(r io.Reader) *eventReader {
@@ -51,5 +52,16 @@
 	}
 }
 
+// follows reports whether the event with an ID may come after the one with the previous ID. IDs that are no numbers
+// must differ only.
+func follows(id, previous string) bool {
+	n, err := strconv.ParseInt(id, 10, 64)
+	p, previousErr := strconv.ParseInt(previous, 10, 64)
+	if err == nil && previousErr == nil {
+		return n > p
+	}
+	return id != "" && id != previous
+}
+
 // buffered reports whether bytes of another event are already read.
 func (e *eventReader) buffered() bool { return e.r.Buffered() > 0 }
--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -66,7 +66,9 @@
 	mu      sync.Mutex
 	budgets map[string]*retry.WindowBudget
 
-	counts counts
+	// largeReads holds one element for each large body that is being read.
+	largeReads chan struct{}
+	counts     counts
 }
 
 type counts struct {
@@ -82,7 +84,7 @@
 func New(upstream Upstream, servers Servers, versions Versions, models Models, chooser *place.Chooser, opts Options, log *event.Log) *Router {
 	return &Router{
 		upstream: upstream, servers: servers, versions: versions, models: models, chooser: chooser,
-		opts: opts, log: log, budgets: map[string]*retry.WindowBudget{},
+		opts: opts, log: log, budgets: map[string]*retry.WindowBudget{}, largeReads: make(chan struct{}, maxLargeReads),
 	}
 }
 
--- a/internal/route/forward/router_test.go
+++ b/internal/route/forward/router_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -492,3 +493,49 @@
 		})
 	}
 }
+
+// pausingBody sends size bytes and then nothing until its request ends.
+type pausingBody struct {
+	ctx  context.Context
+	size int
+	read *atomic.Int64
+}
+
+func (b *pausingBody) Read(p []byte) (int, error) {
+	if b.size == 0 {
+		<-b.ctx.Done()
+		return 0, b.ctx.Err()
+	}
+	n := min(len(p), b.size)
+	b.size -= n
+	b.read.Add(int64(n))
+	return n, nil
+}
+
+func (*pausingBody) Close() error { return nil }
+
+// Guards against bodies without end at many requests that exhaust the memory, though each of them is bounded.
+func TestOnlyAFewLargeBodiesAreReadAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests, size = 100, 512 << 10
+		var read atomic.Int64
+		up := &fakeUpstream{script: func(ctx context.Context, _ int, _ Attempt) (*Response, *Failure) {
+			r := response(200, "")
+			r.Body = &pausingBody{ctx: ctx, size: size, read: &read}
+			return r, nil
+		}}
+		router := newTestRouter(up, 20)
+		var failed atomic.Int64
+		for range requests {
+			go func() {
+				if router.Serve(context.Background(), request(routing.Unsafe), httptest.NewRecorder()) != nil {
+					failed.Add(1)
+				}
+			}()
+		}
+		synctest.Wait()
+		require.LessOrEqual(t, read.Load(), int64(maxLargeReads*size+requests*(smallBodyBytes+1)))
+		time.Sleep(11 * time.Second)
+		require.EqualValues(t, requests, failed.Load())
+	})
+}
--- a/internal/route/forward/stream.go
+++ b/internal/route/forward/stream.go
@@ -74,7 +74,7 @@
 // handleNonStream handles a response that is no signed stream: the server refused, failed or responded otherwise. It
 // reports done unless a retry follows.
 func (h *handler) handleNonStream(ctx context.Context, a *attempt, resp *Response) (done bool, err error) {
-	body, f := readBody(ctx, resp)
+	body, f := h.router.readBody(ctx, resp)
 	if f != nil {
 		a.finish(outcomeOfFailure(ctx, f))
 		if !h.retryAfterFailure(ctx, a, f) {
@@ -107,6 +107,9 @@
 		if len(ev) > 0 && err != nil {
 			return &Failure{Reason: Truncated, Sent: true, Err: errors.New("the stream ended within an event")}
 		}
+		if f := h.checkOrder(ev, id); f != nil {
+			return f
+		}
 		if len(ev) > 0 || !h.headersSent {
 			if werr := h.writeEvent(resp, ev); werr != nil {
 				return &Failure{Reason: Cancelled, Sent: true, Err: werr}
@@ -118,9 +121,7 @@
 			return nil
 		}
 		a.chunkReceived()
-		if id != "" {
-			h.lastEventID = id
-		}
+		h.lastEventID = id
 		if events.buffered() {
 			continue
 		}
@@ -130,6 +131,19 @@
 	}
 }
 
+// checkOrder rejects an event that can't follow those passed on: bytes that are no events, or events again and again,
+// would otherwise reach the caller for as long as the server sends them.
+func (h *handler) checkOrder(ev []byte, id string) *Failure {
+	previous := ""
+	if h.headersSent {
+		previous = h.lastEventID
+	}
+	if len(ev) == 0 || follows(id, previous) {
+		return nil
+	}
+	return &Failure{Reason: Malformed, Sent: true, Err: errors.Newf("event ID %q follows %q", id, previous)}
+}
+
 // writeEvent writes one event, after the response headers if they are not sent yet.
 func (h *handler) writeEvent(resp *Response, ev []byte) error {
 	if !h.headersSent {
