back: bound the heads of responses and streams without chunks

What callers saw: nothing yet. Change: heads of 64 KiB, 1 MiB of lines without a chunk between two chunks. Bodies and lines were bounded before. Evidence: TestStreamWithoutChunksFails (64 MiB read, 2 allowed) and TestResponseHeaderWithoutEndFails (1,048,601 bytes sent, 131,072 allowed) failed before. Left: the clients of the store, the VM list and the rater, which are no servers in trouble.

--- a/internal/back/engine/client.go
+++ b/internal/back/engine/client.go
@@ -51,6 +51,8 @@
 	maxIdleConnsPerHost = 256
 	idleConnTimeout     = 90 * time.Second
 	dialTimeout         = 2 * time.Second
+	// MaxHeaderBytes bounds the header of a response of an engine or service.
+	MaxHeaderBytes = 64 << 10
 )
 
 // New returns a client that reads responses of at most maxResponseBytes and cancels a stream that pauses for longer than stallTimeout.
@@ -58,7 +60,7 @@
 	return &Client{
 		transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout,
-			DisableCompression: true, ReadBufferSize: 32 << 10,
+			DisableCompression: true, ReadBufferSize: 32 << 10, MaxResponseHeaderBytes: MaxHeaderBytes,
 		},
 		maxResponseBytes: maxResponseBytes, stallTimeout: stallTimeout,
 	}
--- a/internal/back/engine/stream.go
+++ b/internal/back/engine/stream.go
@@ -97,6 +97,8 @@
 	id              []byte
 	hasFinishReason bool
 	longLine        []byte
+	// skippedBytes is the length of the lines without data since the last chunk.
+	skippedBytes int
 }
 
 func (r *streamReader) run(stallTimeout time.Duration) error {
@@ -150,8 +152,13 @@
 func (r *streamReader) handleLine(line []byte) (bool, error) {
 	data, ok := bytes.CutPrefix(line, []byte(dataPrefix))
 	if !ok {
+		r.skippedBytes += len(line) + 1
+		if r.skippedBytes > maxEventBytes {
+			return false, errors.Newf("more than %d bytes came without a chunk", maxEventBytes)
+		}
 		return false, nil
 	}
+	r.skippedBytes = 0
 	data = bytes.TrimLeft(data, " ")
 	if string(data) == endOfStream {
 		if !r.hasFinishReason {
--- a/internal/back/engine/stream_test.go
+++ b/internal/back/engine/stream_test.go
@@ -1,9 +1,11 @@
 package engine
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -110,3 +112,67 @@
 		require.GreaterOrEqual(t, r.Slots, 0)
 	})
 }
+
+// endlessBody repeats a text and counts the bytes that were read; it ends far above what a client may read.
+type endlessBody struct {
+	text string
+	read int
+}
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	if b.read > 64<<20 {
+		return 0, io.EOF
+	}
+	n := 0
+	for n < len(p) {
+		n += copy(p[n:], b.text[(b.read+n)%len(b.text):])
+	}
+	b.read += n
+	return n, nil
+}
+
+func (*endlessBody) Close() error { return nil }
+
+// bodyTransport responds to every request with a body.
+type bodyTransport struct{ body io.ReadCloser }
+
+func (b bodyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{"X-Request-Id": {r.Header.Get("X-Request-Id")}}, Body: b.body}, nil
+}
+
+// Guards against a stream without chunks that is read for as long as the engine sends.
+func TestStreamWithoutChunksFails(t *testing.T) {
+	for _, text := range []string{"x", ": ping\n", "\n", "event: x\n\n"} {
+		body := &endlessBody{text: text}
+		c := &Client{transport: bodyTransport{body}, maxResponseBytes: 1 << 20, stallTimeout: time.Minute}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, f := c.Stream(ctx, Call{Address: "x", AttemptID: "a"}, &recordingSink{})
+		require.NotNil(t, f)
+		require.NoError(t, ctx.Err(), "%q", text)
+		require.Equal(t, Incomplete, f.Reason)
+		require.LessOrEqual(t, body.read, 2*maxEventBytes)
+		cancel()
+	}
+}
+
+// Guards against a header without end that is kept in memory; net/http would read 10 MiB of it.
+func TestResponseHeaderWithoutEndFails(t *testing.T) {
+	client, server := net.Pipe()
+	t.Cleanup(func() { _ = client.Close() })
+	sent := make(chan int, 1)
+	go func() {
+		defer server.Close()
+		n := 0
+		if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+			n, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("x", 1<<20))
+		}
+		sent <- n
+	}()
+	c := New(func(context.Context, string, string) (net.Conn, error) { return client, nil }, 1<<20, time.Minute)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, f := c.Complete(ctx, Call{Address: "x", AttemptID: "a"})
+	require.NotNil(t, f)
+	require.NoError(t, ctx.Err())
+	require.LessOrEqual(t, <-sent, MaxHeaderBytes+64<<10)
+}
--- a/internal/back/service/client.go
+++ b/internal/back/service/client.go
@@ -49,8 +49,12 @@
 // New returns a client that reads responses of at most maxResponseBytes.
 func New(dial engine.DialContext, maxResponseBytes int) *Client {
 	return &Client{
-		keepAlive:        &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true},
-		oneCallPerConn:   &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+		keepAlive: &http.Transport{
+			DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes,
+		},
+		oneCallPerConn: &http.Transport{
+			DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes,
+		},
 		maxResponseBytes: maxResponseBytes,
 	}
 }
