trial: compare a new version's streams with the old one's fastest

Change: while a server of the target gets at most half the sessions of an old one, its streams have to be nearly as fast as the old version's fastest ones over the fleet; a version with over 25 in 100 slow streams by the sequential test is worse. Daemons share their times as histograms, sent when the samples have doubled. The comparison of shares is gone.

Why it works: at equal speed the less loaded servers are the faster ones, whatever the load of the others.

--- a/internal/decide/rollout/ramp.go
+++ b/internal/decide/rollout/ramp.go
@@ -73,43 +73,45 @@
 	priorBadResponses  = 0.3
 	// recentExposureWeight requires more evidence from the last seconds alone, since they are evaluated many times.
 	recentExposureWeight = 0.1
-	// speedExposureWeight requires more evidence from speeds, since streams of one server are slow together while the test
-	// takes them for independent.
-	speedExposureWeight = 0.1
-)
-
-// tolerance is how much worse than the old version a new one may be.
-type tolerance struct {
-	// badShare is by how much the share of bad responses may exceed the old version's.
-	badShare float64
-	// minBad is the number of bad responses below which a version is not judged.
-	minBad float64
-}
-
-var (
-	// resultTolerance allows for a new version that starts with empty caches.
-	resultTolerance = tolerance{badShare: 0.06, minBad: 3}
-	// speedTolerance also allows for streams that share a server with long prompts.
-	speedTolerance = tolerance{badShare: 0.1, minBad: 6}
 )
 
-// Regressed reports whether the new version's responses are worse than the old one's on any kind of request, over the
-// whole roll-out or recently.
+// Regressed reports whether the new version is worse than the old one on any kind of request, over the whole roll-out
+// or recently.
 func Regressed(all, recent []Comparison) bool {
-	return resultTolerance.exceededByAny(all, 1) || resultTolerance.exceededByAny(recent, recentExposureWeight)
-}
-
-// Slower reports the same of responses that are counted as good if they are fast and as bad if they are slow.
-func Slower(all, recent []Comparison) bool {
-	return speedTolerance.exceededByAny(all, speedExposureWeight) ||
-		speedTolerance.exceededByAny(recent, speedExposureWeight*recentExposureWeight)
+	return anyWorse(all, 1) || anyWorse(recent, recentExposureWeight)
 }
 
-func (t tolerance) exceededByAny(cs []Comparison, weight float64) bool {
+func anyWorse(cs []Comparison, weight float64) bool {
 	for _, c := range cs {
 		good, bad := c.Old.Good+priorGoodResponses, c.Old.Bad+priorBadResponses
-		baseline := good/(good+bad) - t.badShare
-		if c.New.Bad >= t.minBad && Worse(c.New.Good, c.New.Bad, baseline, weight) {
+		baseline := good/(good+bad) - toleratedBadShare
+		if c.New.Bad >= minBadResponses && Worse(c.New.Good, c.New.Bad, baseline, weight) {
+			return true
+		}
+	}
+	return false
+}
+
+// toleratedBadShare is by how much the share of bad responses may exceed the old version's: a new version starts with
+// empty caches and is slightly slower for a while.
+const toleratedBadShare = 0.06
+
+// minBadResponses is the number of bad responses below which a version is not judged.
+const minBadResponses = 3
+
+const (
+	// toleratedSlowShare is the share of slow streams that a version with little load may have.
+	toleratedSlowShare = 0.25
+	// speedExposureWeight requires more evidence from speeds, since streams of one server are slow together while the test
+	// takes them for independent.
+	speedExposureWeight = 0.1
+)
+
+// Slower reports whether a new version with little load is slow on any kind of request. Its fast streams are counted as
+// good and its slow ones as bad.
+func Slower(speeds []Responses) bool {
+	for _, s := range speeds {
+		if Worse(s.Good, s.Bad, 1-toleratedSlowShare, speedExposureWeight) {
 			return true
 		}
 	}
--- a/internal/fleet/trial/counts.go
+++ b/internal/fleet/trial/counts.go
@@ -11,8 +11,8 @@
 type routeComparison struct {
 	// Results counts good and bad responses.
 	Results rollout.Comparison
-	// Speeds counts fast streams as good and slow ones as bad.
-	Speeds rollout.Comparison
+	// Speeds counts the target's fast streams as good and its slow ones as bad.
+	Speeds rollout.Responses
 }
 
 // routeCounts counts the responses of both versions by route.
@@ -20,25 +20,25 @@
 
 func (counts routeCounts) addResult(route string, target, bad bool) {
 	c := counts[route]
-	addResponse(&c.Results, target, bad)
+	if target {
+		addResponse(&c.Results.New, bad)
+	} else {
+		addResponse(&c.Results.Old, bad)
+	}
 	counts[route] = c
 }
 
-func (counts routeCounts) addSpeed(route string, target, slow bool) {
+func (counts routeCounts) addSpeed(route string, slow bool) {
 	c := counts[route]
-	addResponse(&c.Speeds, target, slow)
+	addResponse(&c.Speeds, slow)
 	counts[route] = c
 }
 
-func addResponse(c *rollout.Comparison, target, bad bool) {
-	side := &c.Old
-	if target {
-		side = &c.New
-	}
+func addResponse(r *rollout.Responses, bad bool) {
 	if bad {
-		side.Bad++
+		r.Bad++
 	} else {
-		side.Good++
+		r.Good++
 	}
 }
 
@@ -49,10 +49,8 @@
 		c.Results.New.Bad += float64(r.GetNewBad())
 		c.Results.Old.Good += float64(r.GetOldGood())
 		c.Results.Old.Bad += float64(r.GetOldBad())
-		c.Speeds.New.Good += float64(r.GetNewFast())
-		c.Speeds.New.Bad += float64(r.GetNewSlow())
-		c.Speeds.Old.Good += float64(r.GetOldFast())
-		c.Speeds.Old.Bad += float64(r.GetOldSlow())
+		c.Speeds.Good += float64(r.GetNewFast())
+		c.Speeds.Bad += float64(r.GetNewSlow())
 		counts[r.GetRoute()] = c
 	}
 }
@@ -63,7 +61,7 @@
 		out = append(out, &peerpb.RouteTrial{
 			Route:   route,
 			NewGood: int64(c.Results.New.Good), NewBad: int64(c.Results.New.Bad), OldGood: int64(c.Results.Old.Good), OldBad: int64(c.Results.Old.Bad),
-			NewFast: int64(c.Speeds.New.Good), NewSlow: int64(c.Speeds.New.Bad), OldFast: int64(c.Speeds.Old.Good), OldSlow: int64(c.Speeds.Old.Bad),
+			NewFast: int64(c.Speeds.Good), NewSlow: int64(c.Speeds.Bad),
 		})
 	}
 	slices.SortFunc(out, func(a, b *peerpb.RouteTrial) int {
@@ -75,21 +73,13 @@
 	return out
 }
 
-// resultsSince and speedsSince return a comparison for each route and one over all routes. They hold the new version's
-// responses after the earlier counts and all responses of the old version, which is the baseline.
+// resultsSince returns a comparison for each route and one over all routes. They hold the new version's responses after
+// the earlier counts and all responses of the old version, which is the baseline.
 func (counts routeCounts) resultsSince(earlier routeCounts) []rollout.Comparison {
-	return counts.since(earlier, func(c routeComparison) rollout.Comparison { return c.Results })
-}
-
-func (counts routeCounts) speedsSince(earlier routeCounts) []rollout.Comparison {
-	return counts.since(earlier, func(c routeComparison) rollout.Comparison { return c.Speeds })
-}
-
-func (counts routeCounts) since(earlier routeCounts, part func(routeComparison) rollout.Comparison) []rollout.Comparison {
 	var out []rollout.Comparison
 	var sum rollout.Comparison
 	for route := range counts {
-		c, e := part(counts[route]), part(earlier[route])
+		c, e := counts[route].Results, earlier[route].Results
 		d := rollout.Comparison{
 			New: rollout.Responses{Good: c.New.Good - e.New.Good, Bad: c.New.Bad - e.New.Bad},
 			Old: c.Old,
@@ -102,3 +92,15 @@
 	}
 	return append(out, sum)
 }
+
+// speeds returns the speeds of the new version's streams for each route and over all routes.
+func (counts routeCounts) speeds() []rollout.Responses {
+	var out []rollout.Responses
+	var sum rollout.Responses
+	for _, c := range counts {
+		out = append(out, c.Speeds)
+		sum.Good += c.Speeds.Good
+		sum.Bad += c.Speeds.Bad
+	}
+	return append(out, sum)
+}
--- a/internal/fleet/trial/doc.go
+++ b/internal/fleet/trial/doc.go
@@ -5,10 +5,11 @@
 // that begin after the order uses the target. A hash of the session decides whether it is
 // in the share. The daemons tell each other which sessions of the share used the old
 // version before, and those stay there until the second half, in which all sessions move.
-// Every daemon publishes its counts of good and bad responses, and of fast and slow
-// streams, and evaluates the sums of the fleet. A stream is slow if its chunks come slower
-// than the old version's do on average over the fleet; this is known before the stream
-// ends, and a version is slower if more of its streams are slow. The first one to find the target worse publishes that, and all daemons stop
+// Every daemon publishes its counts of good and bad responses, and of the target's fast
+// and slow streams, and evaluates the sums of the fleet. A stream is slow if its chunks
+// come much slower than those of the old version's fastest streams over the fleet: the
+// target's servers have little load in the first half, so its streams should be as fast as
+// those. The first daemon to find the target worse publishes that, and all daemons stop
 // using the target at once. The live daemon of the lowest rank writes the state of the
 // roll-out to the store; the others take over in order of rank if it doesn't.
 package trial
--- a/internal/fleet/trial/service.go
+++ b/internal/fleet/trial/service.go
@@ -203,11 +203,15 @@
 	now := time.Now()
 	target, mayFallBack := r.useTarget(cmp.Or(session, requestID), s.firstHalfShare, now)
 	target = target && !s.keepsVersion(r, session, now)
-	version := r.order.Target
+	ofTarget, ofOthers := splitByVersion(servers, r.order.Target)
+	r.targetServers, r.otherServers = len(ofTarget), len(ofOthers)
 	s.mu.Unlock()
-	preferred = filterVersion(servers, version, target)
+	preferred, others := ofOthers, ofTarget
+	if target {
+		preferred, others = ofTarget, ofOthers
+	}
 	if mayFallBack {
-		fallback = filterVersion(servers, version, !target)
+		fallback = others
 	}
 	if len(preferred) == 0 {
 		return fallback, nil
@@ -250,14 +254,17 @@
 	return float64(xxhash.Sum64String(o.Service+"\x00"+o.Target+"\x00"+key)>>(64-bits)) / (1 << bits)
 }
 
-func filterVersion(servers []registry.Server, version string, match bool) []registry.Server {
-	out := make([]registry.Server, 0, len(servers))
+// splitByVersion returns the servers of a version and those of all others.
+func splitByVersion(servers []registry.Server, version string) (matching, others []registry.Server) {
+	matching, others = make([]registry.Server, 0, len(servers)), make([]registry.Server, 0, len(servers))
 	for _, srv := range servers {
-		if (srv.Version == version) == match {
-			out = append(out, srv)
+		if srv.Version == version {
+			matching = append(matching, srv)
+		} else {
+			others = append(others, srv)
 		}
 	}
-	return out
+	return matching, others
 }
 
 // Begin counts the start of an attempt of a session at a server; End must follow. The session is empty for none.
@@ -293,17 +300,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r := s.rollouts[srv.Service]; r != nil && !r.order.finished() {
-		r.countResponse(srv.Version == r.order.Target, route, class, bad, chunkTime, r.bothServe(time.Now(), s.firstHalfShare))
+		r.countResponse(srv.Version == r.order.Target, route, class, bad, chunkTime)
 	}
 }
 
-// JudgeSpeed counts a stream as fast or slow by its mean time between chunks so far. It is called once a stream, before
-// the stream's end: slow streams end late, so that the ended ones would show a slow version too late.
-func (s *Service) JudgeSpeed(srv registry.Server, route, class string, chunkTime time.Duration) {
+// JudgeSpeed records the chunk time of a response, once for each: of a stream, its mean time between chunks before it
+// ends, since slow streams end late and would show a slow version too late. A stream of the target counts as slow if a
+// server with little load should be faster. firstChunk is true for a time to first chunk, which depends on the caches too.
+func (s *Service) JudgeSpeed(srv registry.Server, route, class string, chunkTime time.Duration, firstChunk bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r := s.rollouts[srv.Service]; r != nil && !r.order.finished() && r.bothServe(time.Now(), s.firstHalfShare) {
-		r.countSpeed(srv.Version == r.order.Target, route, class, chunkTime)
+	r, now := s.rollouts[srv.Service], time.Now()
+	switch {
+	case r == nil || r.order.finished() || !r.bothServe(now, s.firstHalfShare):
+	case srv.Version != r.order.Target:
+		r.times.observe(class, chunkTime)
+	case !firstChunk && r.targetHasLittleLoad(now, s.firstHalfShare):
+		r.countSpeed(route, class, chunkTime)
 	}
 }
 
--- a/internal/fleet/trial/service_test.go
+++ b/internal/fleet/trial/service_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -209,6 +210,7 @@
 				if srv == newServer && n%2 == 0 {
 					chunkTime *= 8
 				}
+				s.JudgeSpeed(srv, "r", "r m", chunkTime, false)
 				s.Judge(srv, "r", "r m", false, chunkTime)
 			}
 		})
@@ -363,42 +365,70 @@
 	})
 }
 
+// streamLoad is the load of the old version's servers, as the additional time between events in multiples of that of a
+// server with a single stream: the median and the standard deviation of its logarithm.
+type streamLoad struct{ median, spread float64 }
+
+var calmLoad, burstLoad = streamLoad{1.25, 0.5}, streamLoad{5, 1}
+
 // Guards against completing a version whose slowness is hidden by the load of the old version's servers.
 func TestSlowVersionOnIdleServersIsRolledBackInTheFirstHalf(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFleet(6)
-		f.applyOrder(standardOrder)
-		rng := rand.New(rand.NewPCG(1, 2))
-		f.run(12*time.Second, sendStreams(rng, 85*time.Millisecond))
-		require.Equal(t, RolledBack, f.states[len(f.states)-1])
-	})
+	for _, load := range []streamLoad{calmLoad, burstLoad} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeFleet(6)
+			f.applyOrder(standardOrder)
+			f.run(12*time.Second, sendStreams(rand.New(rand.NewPCG(1, 2)), load, 4))
+			require.Equal(t, RolledBack, f.states[len(f.states)-1], load)
+		})
+	}
 }
 
 // Guards against stopping a version that is as fast as the old one.
 func TestVersionAsFastAsTheOldOneCompletes(t *testing.T) {
 	for seed := range uint64(50) {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFakeFleet(6)
-			f.applyOrder(standardOrder)
-			f.run(24*time.Second, sendStreams(rand.New(rand.NewPCG(seed, 3)), 45*time.Millisecond))
-			require.Equal(t, Completed, f.states[len(f.states)-1], "seed %d", seed)
-		})
+		for _, load := range []streamLoad{calmLoad, burstLoad} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(6)
+				f.applyOrder(standardOrder)
+				f.run(24*time.Second, sendStreams(rand.New(rand.NewPCG(seed, 3)), load, 1))
+				require.Equal(t, Completed, f.states[len(f.states)-1], "seed %d, %v", seed, load)
+			})
+		}
 	}
 }
 
-// sendStreams returns a function that sends streams of new sessions through a daemon, three a round. The median time
-// between events is 45 ms at the old version, whose servers are loaded.
-func sendStreams(rng *rand.Rand, targetMedian time.Duration) func(s *Service) {
-	const oldMedian, spread = 45 * time.Millisecond, 0.5
+// Guards against stopping a good version whose few servers have as much load as the old version's.
+func TestSpeedIsNotJudgedOnServersWithAsMuchLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(2)
+		f.applyOrder(standardOrder)
+		for i := range 10 {
+			bothServers := append(slices.Repeat([]registry.Server{oldServer}, 10), newServer)
+			eligible(f.services[0], fmt.Sprint(i), bothServers)
+		}
+		f.run(2*time.Second, nil)
+		for range 50 {
+			f.services[0].JudgeSpeed(oldServer, "r", "r m", 10*time.Millisecond, false)
+			f.services[0].JudgeSpeed(newServer, "r", "r m", 30*time.Millisecond, false)
+		}
+		f.run(time.Second, nil)
+		require.Equal(t, []State{Running}, f.states)
+	})
+}
+
+// sendStreams returns a function that sends streams of new sessions through a daemon, three a round. Servers of the
+// target have a tenth of the load and take slowdown times as long.
+func sendStreams(rng *rand.Rand, load streamLoad, slowdown float64) func(s *Service) {
+	const unloaded = 20 * time.Millisecond
 	return func(s *Service) {
 		for range 3 {
 			srv := serveSession(s, fmt.Sprint("session", rng.Uint64()))
-			median := oldMedian
+			l, factor := load.median*math.Exp(load.spread*rng.NormFloat64()), 1.0
 			if srv == newServer {
-				median = targetMedian
+				l, factor = l/10, slowdown
 			}
-			gap := time.Duration(float64(median) * math.Exp(spread*rng.NormFloat64()))
-			s.JudgeSpeed(srv, "r", "r m", gap)
+			gap := time.Duration(factor * (1 + l) * float64(unloaded))
+			s.JudgeSpeed(srv, "r", "r m", gap, false)
 			s.Judge(srv, "r", "r m", false, gap)
 		}
 	}
--- a/internal/fleet/trial/times.go
+++ b/internal/fleet/trial/times.go
@@ -1,62 +1,112 @@
 package trial
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/pollencourse/pollencourse/internal/fleet/peerpb"
 )
 
 const (
-	// badTimeRatio is the multiple of the old version's usual chunk time above which a response counts as bad.
+	// badTimeRatio is the multiple of the old version's median chunk time above which a response counts as bad.
 	badTimeRatio = 4.0
-	// slowTimeRatio is the one above which a stream counts as slow. It is small because the old version's servers are
-	// loaded while the new version's are nearly idle, and as many streams of a good version exceed it as of the old one.
-	slowTimeRatio = 1.25
-	// minTimeSamples is the number of samples of the fleet below which no response counts as bad or slow.
-	minTimeSamples = 8
+	// fastPercentile is the percentile of the old version's chunk times that stands for a server with little load, and
+	// slowTimeRatio the multiple of it above which a stream counts as slow.
+	fastPercentile = 5.0
+	slowTimeRatio  = 1.75
+	// minBadSamples and minSlowSamples are the numbers of samples of the fleet below which no response counts as bad and
+	// no stream as slow.
+	minBadSamples  = 8
+	minSlowSamples = 20
+)
+
+// Chunk times are recorded in units of timeUnit with one significant digit; longer ones count as maxTime.
+const (
+	timeUnit              = 100 * time.Microsecond
+	maxTime               = time.Minute
+	timeSignificantDigits = 1
 )
 
 // classTimes holds the old version's chunk times by class of responses.
 type classTimes struct {
-	own    map[string]meanTime
-	others map[string]meanTime
+	own    map[string]*hdrhistogram.Histogram
+	others map[string]*hdrhistogram.Histogram
 	// published is what the other daemons know of own. It follows only when the samples of a class have doubled, since
 	// each change makes a record larger.
-	published map[string]meanTime
+	published map[string]*peerpb.ClassTime
+	// publishedSamples counts the samples of published.
+	publishedSamples map[string]int64
 }
 
 func newClassTimes() classTimes {
-	return classTimes{own: map[string]meanTime{}, others: map[string]meanTime{}, published: map[string]meanTime{}}
+	return classTimes{
+		own: map[string]*hdrhistogram.Histogram{}, others: map[string]*hdrhistogram.Histogram{},
+		published: map[string]*peerpb.ClassTime{}, publishedSamples: map[string]int64{},
+	}
+}
+
+func newTimeHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(maxTime/timeUnit), timeSignificantDigits)
 }
 
 // observe adds a chunk time of the old version.
 func (t classTimes) observe(class string, d time.Duration) {
-	m := t.own[class]
-	m.observe(d)
-	t.own[class] = m
-	if m.samples >= 2*t.published[class].samples {
-		t.published[class] = m
+	addTimes(t.own, class, int64(min(max(d, timeUnit), maxTime)/timeUnit), 1)
+	if h := t.own[class]; h.TotalCount() >= 2*t.publishedSamples[class] {
+		t.published[class], t.publishedSamples[class] = encodeTimes(class, h), h.TotalCount()
+	}
+}
+
+// addTimes adds n samples of a time in units of timeUnit; a time out of range, which only a faulty peer sends, is ignored.
+func addTimes(hs map[string]*hdrhistogram.Histogram, class string, units, n int64) {
+	if hs[class] == nil {
+		hs[class] = newTimeHistogram()
+	}
+	if units >= 1 && units <= int64(maxTime/timeUnit) && n > 0 {
+		_ = hs[class].RecordValues(units, n) // fails only for a value out of range
+	}
+}
+
+func encodeTimes(class string, h *hdrhistogram.Histogram) *peerpb.ClassTime {
+	out := &peerpb.ClassTime{Class: class}
+	for _, bar := range h.Distribution() {
+		if bar.Count > 0 {
+			out.Times, out.Counts = append(out.Times, bar.From), append(out.Counts, bar.Count)
+		}
 	}
+	return out
+}
+
+// isBad reports whether a response took far longer than the old version's usually do.
+func (t classTimes) isBad(class string, d time.Duration) bool {
+	usual, samples := t.percentile(class, 50)
+	return samples >= minBadSamples && float64(d) > badTimeRatio*float64(usual)
 }
 
-// exceeds reports whether a chunk time is above the given multiple of the old version's usual one; ok is false while
-// that one is not known.
-func (t classTimes) exceeds(class string, d time.Duration, ratio float64) (exceeds, ok bool) {
-	m := t.own[class]
-	m.merge(t.others[class])
-	if m.samples < minTimeSamples {
-		return false, false
+// isSlow reports whether a stream of a server with little load is slow; ok is false while too little is known.
+func (t classTimes) isSlow(class string, d time.Duration) (slow, ok bool) {
+	fast, samples := t.percentile(class, fastPercentile)
+	return float64(d) > slowTimeRatio*float64(fast), samples >= minSlowSamples
+}
+
+// percentile returns a percentile of the fleet's chunk times and the number of its samples.
+func (t classTimes) percentile(class string, p float64) (time.Duration, int64) {
+	all := newTimeHistogram()
+	for _, h := range []*hdrhistogram.Histogram{t.own[class], t.others[class]} {
+		if h != nil {
+			all.Merge(h)
+		}
 	}
-	return logSeconds(d) > m.meanLogSeconds+math.Log(ratio), true
+	return time.Duration(all.ValueAtPercentile(p)) * timeUnit, all.TotalCount()
 }
 
 func (t classTimes) toProto() []*peerpb.ClassTime {
 	var out []*peerpb.ClassTime
-	for class, m := range t.published {
-		out = append(out, &peerpb.ClassTime{Class: class, Samples: m.samples, MeanLogSeconds: m.meanLogSeconds})
+	for _, c := range t.published {
+		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b *peerpb.ClassTime) int { return strings.Compare(a.GetClass(), b.GetClass()) })
 	return out
@@ -67,28 +117,9 @@
 	clear(t.others)
 	for _, o := range others {
 		for _, c := range o.GetClassTimes() {
-			m := t.others[c.GetClass()]
-			m.merge(meanTime{c.GetMeanLogSeconds(), c.GetSamples()})
-			t.others[c.GetClass()] = m
+			for i := range min(len(c.GetTimes()), len(c.GetCounts())) {
+				addTimes(t.others, c.GetClass(), c.GetTimes()[i], c.GetCounts()[i])
+			}
 		}
 	}
 }
-
-// meanTime is the mean logarithm of times in seconds.
-type meanTime struct {
-	meanLogSeconds float64
-	samples        int64
-}
-
-func (m *meanTime) observe(d time.Duration) { m.merge(meanTime{logSeconds(d), 1}) }
-
-func (m *meanTime) merge(other meanTime) {
-	if other.samples <= 0 {
-		return
-	}
-	m.samples += other.samples
-	m.meanLogSeconds += float64(other.samples) / float64(m.samples) * (other.meanLogSeconds - m.meanLogSeconds)
-}
-
-// logSeconds counts times below 1 µs as 1 µs, since 0 has no logarithm.
-func logSeconds(d time.Duration) float64 { return math.Log(max(d.Seconds(), 1e-6)) }
--- a/internal/fleet/trial/trial.go
+++ b/internal/fleet/trial/trial.go
@@ -30,6 +30,8 @@
 	// fleetOldInFlight is the number of the fleet's attempts in flight at servers of other versions.
 	fleetOldInFlight int64
 	held             heldSessions
+	// targetServers and otherServers are the numbers of servers of the target and of other versions.
+	targetServers, otherServers int
 }
 
 func newRollout(o Order, now time.Time) *serviceRollout {
@@ -65,20 +67,17 @@
 
 // countResponse counts a response as good or bad; a far too slow one counts as bad. See [Service.Judge] for the
 // parameters.
-func (r *serviceRollout) countResponse(target bool, route, class string, bad bool, chunkTime time.Duration, bothServe bool) {
+func (r *serviceRollout) countResponse(target bool, route, class string, bad bool, chunkTime time.Duration) {
 	if !bad && chunkTime > 0 {
-		bad, _ = r.times.exceeds(class, chunkTime, badTimeRatio)
-		if !target && bothServe {
-			r.times.observe(class, chunkTime)
-		}
+		bad = r.times.isBad(class, chunkTime)
 	}
 	r.ownCounts.addResult(route, target, bad)
 }
 
-// countSpeed counts a stream as fast or slow.
-func (r *serviceRollout) countSpeed(target bool, route, class string, chunkTime time.Duration) {
-	if slow, ok := r.times.exceeds(class, chunkTime, slowTimeRatio); ok {
-		r.ownCounts.addSpeed(route, target, slow)
+// countSpeed counts a stream of the target as fast or slow.
+func (r *serviceRollout) countSpeed(route, class string, chunkTime time.Duration) {
+	if slow, ok := r.times.isSlow(class, chunkTime); ok {
+		r.ownCounts.addSpeed(route, slow)
 	}
 }
 
@@ -88,6 +87,16 @@
 	return r.ramp(firstHalfShare).Share(r.elapsed(now)) < 1
 }
 
+// maxLoadRatio bounds the load of the target's servers, as a fraction of that of the other servers, up to which they
+// have little load.
+const maxLoadRatio = 0.5
+
+// targetHasLittleLoad reports whether a server of the target gets far fewer sessions than one of the old version.
+func (r *serviceRollout) targetHasLittleLoad(now time.Time, firstHalfShare float64) bool {
+	share := r.ramp(firstHalfShare).Share(r.elapsed(now))
+	return share*float64(r.otherServers) <= maxLoadRatio*(1-share)*float64(r.targetServers)
+}
+
 func (r *serviceRollout) toProto(now time.Time) *peerpb.ServiceTrial {
 	return &peerpb.ServiceTrial{
 		Service: r.order.Service, Target: r.order.Target, Revision: r.order.Created, ElapsedMs: r.elapsed(now).Milliseconds(),
@@ -112,7 +121,7 @@
 		earlier = r.recentFleetCounts[0]
 	}
 	r.worse = r.worse || rollout.Regressed(r.fleetCounts.resultsSince(routeCounts{}), r.fleetCounts.resultsSince(earlier)) ||
-		rollout.Slower(r.fleetCounts.speedsSince(routeCounts{}), r.fleetCounts.speedsSince(earlier))
+		rollout.Slower(r.fleetCounts.speeds())
 	r.recentFleetCounts = append(r.recentFleetCounts, r.fleetCounts)
 	if len(r.recentFleetCounts) > recentWindowRounds {
 		r.recentFleetCounts = r.recentFleetCounts[1:]
--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -31,8 +31,8 @@
 	// Judge records a response; chunkTime, its mean time between chunks or its time to first chunk, is compared with that
 	// of other responses of the same class.
 	Judge(s registry.Server, route, class string, bad bool, chunkTime time.Duration)
-	// JudgeSpeed records the mean time between chunks of a stream, once for each stream.
-	JudgeSpeed(s registry.Server, route, class string, chunkTime time.Duration)
+	// JudgeSpeed records the chunk time of a response, once for each; firstChunk is true for a time to first chunk.
+	JudgeSpeed(s registry.Server, route, class string, chunkTime time.Duration, firstChunk bool)
 }
 
 // Models chooses among the models of a route.
@@ -286,7 +286,7 @@
 	if o == place.Refused || o == place.Ignored || !a.sent {
 		return
 	}
-	if a.complete && a.eventCount >= minEventsForGapTime && a.eventCount < speedSampleEvents {
+	if o == place.Success && a.complete && a.eventCount < speedSampleEvents {
 		a.judgeSpeed()
 	}
 	class, chunkTime := a.chunkTime()
@@ -307,31 +307,29 @@
 // it ends.
 const speedSampleEvents = 8
 
-// judgeSpeed records the mean time between the events received so far.
+// judgeSpeed records the speed of the response as it is so far.
 func (a *attempt) judgeSpeed() {
-	req := a.handler.req
-	a.handler.router.versions.JudgeSpeed(a.server, req.Route.Name, a.class(), a.meanGap())
+	class, chunkTime, firstChunk := a.speed()
+	a.handler.router.versions.JudgeSpeed(a.server, a.handler.req.Route.Name, class, chunkTime, firstChunk)
 }
 
-func (a *attempt) class() string { return a.handler.req.Route.Name + " " + a.model }
-
-// meanGap returns the mean time between events; there must be two at least.
-func (a *attempt) meanGap() time.Duration {
-	return (time.Since(a.startedAt) - a.timeToFirstChunk) / time.Duration(a.eventCount-1)
+// speed returns the mean time between events, or the time to first chunk if there were few, and the class of responses
+// that it is comparable with.
+func (a *attempt) speed() (class string, chunkTime time.Duration, firstChunk bool) {
+	class = a.handler.req.Route.Name + " " + a.model
+	if a.eventCount < minEventsForGapTime {
+		return class + " first", a.timeToFirstChunk, true
+	}
+	return class, (time.Since(a.startedAt) - a.timeToFirstChunk) / time.Duration(a.eventCount-1), false
 }
 
-// chunkTime returns the mean time between events, or the time to first chunk, and the class of responses that it is
-// comparable with; the time is 0 if the response was not read to its end.
+// chunkTime returns the speed of the whole response; the time is 0 if the response was not read to its end.
 func (a *attempt) chunkTime() (class string, chunkTime time.Duration) {
-	class = a.class()
-	switch {
-	case !a.complete:
-		return class, 0
-	case a.eventCount >= minEventsForGapTime:
-		return class, a.meanGap()
-	default:
-		return class + " first", a.timeToFirstChunk
+	class, chunkTime, _ = a.speed()
+	if !a.complete {
+		chunkTime = 0
 	}
+	return class, chunkTime
 }
 
 // mayRetry reports whether another attempt may follow one that reached its server, and if so takes a retry out of the
--- a/internal/route/forward/router_test.go
+++ b/internal/route/forward/router_test.go
@@ -64,10 +64,10 @@
 func (allEligible) Eligible(_, _, _ string, s []registry.Server) (first, fallback []registry.Server) {
 	return s, nil
 }
-func (allEligible) Begin(registry.Server, string)                              {}
-func (allEligible) End(registry.Server, string)                                {}
-func (allEligible) JudgeSpeed(registry.Server, string, string, time.Duration)  {}
-func (allEligible) Judge(registry.Server, string, string, bool, time.Duration) {}
+func (allEligible) Begin(registry.Server, string)                                   {}
+func (allEligible) End(registry.Server, string)                                     {}
+func (allEligible) JudgeSpeed(registry.Server, string, string, time.Duration, bool) {}
+func (allEligible) Judge(registry.Server, string, string, bool, time.Duration)      {}
 func decodeServer(o mirror.Object) (registry.Server, error) {
 	return registry.Server{ID: o.Name, Service: "s", Address: o.Name, AvailabilityZone: "a", Slots: 8}, nil
 }
@@ -446,7 +446,10 @@
 	gaps     []time.Duration
 }
 
-func (r *speedRecorder) JudgeSpeed(_ registry.Server, _, _ string, chunkTime time.Duration) {
+func (r *speedRecorder) JudgeSpeed(_ registry.Server, _, _ string, chunkTime time.Duration, firstChunk bool) {
+	if firstChunk {
+		return
+	}
 	r.judgedAt, r.gaps = append(r.judgedAt, time.Now()), append(r.gaps, chunkTime)
 }
 
