trial: publish the old version's times apart; split the package's files

Cause: the times of the old version made the record of counts, sent up to four times a second over the tree, 519 bytes instead of 70. Ruled out: leaving them out of a record while unchanged, since a later record replaces the one that holds them. Change: a record of their own, at most once a second and after growth by half. service.go is split into publish.go and departure.go; no decision changes.

--- a/internal/fleet/trial/order.go
+++ b/internal/fleet/trial/order.go
@@ -1,6 +1,11 @@
 package trial
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/pollencourse/pollencourse/internal/fleet/peerpb"
+)
 
 // State is the progress of a roll-out as the store holds it.
 type State string
@@ -29,5 +34,12 @@
 	return o.Service == other.Service && o.Target == other.Target && o.Created == other.Created
 }
 
+// matching returns the records of other daemons about the same roll-out.
+func (o Order) matching(records []*peerpb.ServiceTrial) []*peerpb.ServiceTrial {
+	return slices.DeleteFunc(slices.Clone(records), func(r *peerpb.ServiceTrial) bool {
+		return r.GetTarget() != o.Target || r.GetRevision() != o.Created
+	})
+}
+
 // finished reports whether the store holds the final state.
 func (o Order) finished() bool { return o.State == Completed || o.State == RolledBack }
--- a/internal/fleet/trial/service.go
+++ b/internal/fleet/trial/service.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -20,9 +19,6 @@
 )
 
 const (
-	keyPrefix = "trial/"
-	// departurePrefix is the key prefix of the sessions of daemons that leave.
-	departurePrefix = "departure/"
 	// roundInterval is the time between two rounds; a bad version has to be stopped within seconds.
 	roundInterval = 250 * time.Millisecond
 	// takeoverDelay times its rank is how long a daemon waits for those of lower rank to write a state.
@@ -66,12 +62,13 @@
 	mu              sync.Mutex
 	rollouts        map[string]*serviceRollout
 	serviceByObject map[string]string
-	// lastPublished is the encoded record without elapsed times.
-	lastPublished []byte
-	writing       bool
-	sessions      *recentSessions
-	departed      departedSessions
-	leaving       bool
+	// lastCounts is the last record of counts without elapsed times, encoded.
+	lastCounts  []byte
+	lastTimesAt time.Time
+	writing     bool
+	sessions    *recentSessions
+	departed    departedSessions
+	leaving     bool
 }
 
 // Options holds the bounds that the platform sets for roll-outs.
@@ -84,7 +81,8 @@
 
 // New returns the Service of the daemon self.
 func New(self string, gossip Gossip, members Members, states StateWriter, decode func(mirror.Object) (Order, error), opts Options, log *event.Log) *Service {
-	gossip.MarkFrequent(keyPrefix)
+	gossip.MarkFrequent(countsPrefix)
+	gossip.MarkFrequent(timesPrefix)
 	s := &Service{
 		self: self, gossip: gossip, members: members, states: states, decode: decode, firstHalfShare: firstHalfExposureFraction * opts.ExposureShare,
 		log: log, rollouts: map[string]*serviceRollout{}, serviceByObject: map[string]string{},
@@ -94,66 +92,6 @@
 	return s
 }
 
-// Leave tells the other daemons, from now on, which sessions this daemon serves: if a roll-out starts, they would
-// otherwise take them for new ones.
-func (s *Service) Leave() {
-	s.mu.Lock()
-	s.leaving = true
-	s.mu.Unlock()
-	s.publishDeparture()
-}
-
-// publishDeparture publishes the sessions that this daemon serves, but for those on the target of a roll-out.
-func (s *Service) publishDeparture() {
-	s.mu.Lock()
-	now := time.Now()
-	rec := &peerpb.DepartureRecord{}
-	for service := range s.sessions.uses {
-		target := ""
-		if r := s.rollouts[service]; r != nil {
-			target = r.order.Target
-		}
-		rec.Sessions = append(rec.Sessions, sortedHashes(maps.Keys(s.sessions.onOtherVersion(service, target, now)))...)
-	}
-	s.mu.Unlock()
-	s.publishRecord(departurePrefix+s.self, rec)
-}
-
-// withdrawDeparture empties the record of publishDeparture, which the table keeps after this process has ended. The
-// other daemons have copied its sessions.
-func (s *Service) withdrawDeparture() {
-	s.mu.Lock()
-	leaving := s.leaving
-	s.mu.Unlock()
-	if leaving {
-		s.publishRecord(departurePrefix+s.self, &peerpb.DepartureRecord{})
-	}
-}
-
-func (s *Service) publishRecord(key string, rec proto.Message) {
-	if err := s.gossip.PublishOwn(key, rec); err != nil {
-		s.log.Emit(event.PeerMessageWrong, "key", key, "error", err.Error())
-	}
-}
-
-// handleDeparture holds the sessions that a leaving daemon serves in the roll-outs of now and of the next while.
-func (s *Service) handleDeparture(r relay.Record) {
-	if r.Key == departurePrefix+s.self {
-		return
-	}
-	var rec peerpb.DepartureRecord
-	if err := proto.Unmarshal(r.Body, &rec); err != nil {
-		s.log.Emit(event.PeerMessageWrong, "key", r.Key, "error", err.Error())
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.departed.add(rec.GetSessions(), time.Now(), s.sessions.lifetime)
-	for _, ro := range s.rollouts {
-		ro.held.addOthers(rec.GetSessions())
-	}
-}
-
 // Apply applies a change of an order's object in the store.
 func (s *Service) Apply(c mirror.Change) {
 	s.mu.Lock()
@@ -335,62 +273,24 @@
 	}
 }
 
-// round publishes this daemon's counts, evaluates those of the fleet and writes states that are due. Without an
-// unfinished roll-out it sends nothing.
+// round publishes this daemon's part, evaluates the fleet's and writes states that are due. Without an unfinished
+// roll-out it sends nothing, unless this daemon leaves.
 func (s *Service) round(ctx context.Context) {
 	s.mu.Lock()
-	now := time.Now()
-	rec := &peerpb.TrialRecord{}
 	leaving := s.leaving
-	for _, r := range s.rollouts {
-		if !r.order.finished() {
-			r.holdSessions(s.sessions, now, s.firstHalfShare)
-			rec.Services = append(rec.Services, r.toProto(now))
-		}
-	}
 	s.mu.Unlock()
 	if leaving {
 		s.publishDeparture()
 	}
-	if len(rec.GetServices()) == 0 {
+	if !s.publishCounts() {
 		return
 	}
-	s.publish(rec)
-	others := s.othersRecords()
-	for _, due := range s.evaluate(others) {
+	s.publishTimes()
+	for _, due := range s.evaluate(s.othersRecords(countsPrefix), s.othersRecords(timesPrefix)) {
 		s.writeState(ctx, due.order, due.state)
 	}
 }
 
-// publish publishes the record unless it differs from the last one only in elapsed times.
-func (s *Service) publish(rec *peerpb.TrialRecord) {
-	withoutElapsed := proto.Clone(rec).(*peerpb.TrialRecord)
-	for _, t := range withoutElapsed.GetServices() {
-		t.ElapsedMs = 0
-	}
-	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(withoutElapsed)
-	if err != nil || slices.Equal(body, s.lastPublished) {
-		return
-	}
-	s.lastPublished = body
-	s.publishRecord(keyPrefix+s.self, rec)
-}
-
-// othersRecords returns what the other daemons published, by service.
-func (s *Service) othersRecords() map[string][]*peerpb.ServiceTrial {
-	out := map[string][]*peerpb.ServiceTrial{}
-	for _, r := range s.gossip.Fleet().Prefix(keyPrefix) {
-		var rec peerpb.TrialRecord
-		if r.Key == keyPrefix+s.self || proto.Unmarshal(r.Body, &rec) != nil {
-			continue
-		}
-		for _, t := range rec.GetServices() {
-			out[t.GetService()] = append(out[t.GetService()], t)
-		}
-	}
-	return out
-}
-
 // pendingWrite is a state that this daemon should write now.
 type pendingWrite struct {
 	order Order
@@ -398,7 +298,7 @@
 }
 
 // evaluate decides on each unfinished roll-out and returns the states that this daemon should write now.
-func (s *Service) evaluate(others map[string][]*peerpb.ServiceTrial) []pendingWrite {
+func (s *Service) evaluate(others, othersTimes map[string][]*peerpb.ServiceTrial) []pendingWrite {
 	rank := s.rank()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -408,13 +308,12 @@
 		if r.order.finished() {
 			continue
 		}
-		matching := slices.DeleteFunc(slices.Clone(others[r.order.Service]), func(o *peerpb.ServiceTrial) bool {
-			return o.GetTarget() != r.order.Target || o.GetRevision() != r.order.Created
-		})
+		matching := r.order.matching(others[r.order.Service])
 		r.adoptEarliestStart(matching, now)
 		for _, o := range matching {
 			r.held.addOthers(o.GetHeldSessions())
 		}
+		r.times.replaceOthers(r.order.matching(othersTimes[r.order.Service]))
 		before := r.worse
 		r.evaluateFleet(matching)
 		if r.worse && !before {
--- a/internal/fleet/trial/service_test.go
+++ b/internal/fleet/trial/service_test.go
@@ -292,10 +292,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeFleet(2)
 		f.run(time.Second, sendRequests(5, neverFails))
-		require.Empty(t, f.table.Prefix(keyPrefix))
+		require.Empty(t, f.table.Prefix(countsPrefix))
 		f.applyOrder(Order{Service: "s", Target: "v2", Duration: time.Second, State: RolledBack, Revision: 3, Created: 3})
 		f.run(time.Second, sendRequests(5, neverFails))
-		require.Empty(t, f.table.Prefix(keyPrefix))
+		require.Empty(t, f.table.Prefix(countsPrefix))
 		require.Equal(t, []registry.Server{oldServer}, eligible(f.services[0], "x", bothServers))
 	})
 }
--- a/internal/fleet/trial/times.go
+++ b/internal/fleet/trial/times.go
@@ -34,18 +34,12 @@
 type classTimes struct {
 	own    map[string]*hdrhistogram.Histogram
 	others map[string]*hdrhistogram.Histogram
-	// published is what the other daemons know of own. It follows only when the samples of a class have doubled, since
-	// each change makes a record larger.
-	published map[string]*peerpb.ClassTime
-	// publishedSamples counts the samples of published.
-	publishedSamples map[string]int64
+	// takenSamples is the number of samples of all classes at the last call of takeChanged.
+	takenSamples int64
 }
 
 func newClassTimes() classTimes {
-	return classTimes{
-		own: map[string]*hdrhistogram.Histogram{}, others: map[string]*hdrhistogram.Histogram{},
-		published: map[string]*peerpb.ClassTime{}, publishedSamples: map[string]int64{},
-	}
+	return classTimes{own: map[string]*hdrhistogram.Histogram{}, others: map[string]*hdrhistogram.Histogram{}}
 }
 
 func newTimeHistogram() *hdrhistogram.Histogram {
@@ -53,11 +47,24 @@
 }
 
 // observe adds a chunk time of the old version.
-func (t classTimes) observe(class string, d time.Duration) {
+func (t *classTimes) observe(class string, d time.Duration) {
 	addTimes(t.own, class, int64(min(max(d, timeUnit), maxTime)/timeUnit), 1)
-	if h := t.own[class]; h.TotalCount() >= 2*t.publishedSamples[class] {
-		t.published[class], t.publishedSamples[class] = encodeTimes(class, h), h.TotalCount()
+}
+
+// minGrowth is the factor by which the samples have to grow before they are published again.
+const minGrowth = 1.5
+
+// takeChanged reports whether own has grown enough since it last returned true.
+func (t *classTimes) takeChanged() bool {
+	var samples int64
+	for _, h := range t.own {
+		samples += h.TotalCount()
+	}
+	if samples == 0 || float64(samples) < minGrowth*float64(t.takenSamples) {
+		return false
 	}
+	t.takenSamples = samples
+	return true
 }
 
 // addTimes adds n samples of a time in units of timeUnit; a time out of range, which only a faulty peer sends, is ignored.
@@ -81,19 +88,19 @@
 }
 
 // isBad reports whether a response took far longer than the old version's usually do.
-func (t classTimes) isBad(class string, d time.Duration) bool {
+func (t *classTimes) isBad(class string, d time.Duration) bool {
 	usual, samples := t.percentile(class, 50)
 	return samples >= minBadSamples && float64(d) > badTimeRatio*float64(usual)
 }
 
 // isSlow reports whether a stream of a server with little load is slow; ok is false while too little is known.
-func (t classTimes) isSlow(class string, d time.Duration) (slow, ok bool) {
+func (t *classTimes) isSlow(class string, d time.Duration) (slow, ok bool) {
 	fast, samples := t.percentile(class, fastPercentile)
 	return float64(d) > slowTimeRatio*float64(fast), samples >= minSlowSamples
 }
 
 // percentile returns a percentile of the fleet's chunk times and the number of its samples.
-func (t classTimes) percentile(class string, p float64) (time.Duration, int64) {
+func (t *classTimes) percentile(class string, p float64) (time.Duration, int64) {
 	all := newTimeHistogram()
 	for _, h := range []*hdrhistogram.Histogram{t.own[class], t.others[class]} {
 		if h != nil {
@@ -103,17 +110,17 @@
 	return time.Duration(all.ValueAtPercentile(p)) * timeUnit, all.TotalCount()
 }
 
-func (t classTimes) toProto() []*peerpb.ClassTime {
+func (t *classTimes) toProto() []*peerpb.ClassTime {
 	var out []*peerpb.ClassTime
-	for _, c := range t.published {
-		out = append(out, c)
+	for class, h := range t.own {
+		out = append(out, encodeTimes(class, h))
 	}
 	slices.SortFunc(out, func(a, b *peerpb.ClassTime) int { return strings.Compare(a.GetClass(), b.GetClass()) })
 	return out
 }
 
 // replaceOthers replaces what the other daemons observed.
-func (t classTimes) replaceOthers(others []*peerpb.ServiceTrial) {
+func (t *classTimes) replaceOthers(others []*peerpb.ServiceTrial) {
 	clear(t.others)
 	for _, o := range others {
 		for _, c := range o.GetClassTimes() {
--- a/internal/fleet/trial/trial.go
+++ b/internal/fleet/trial/trial.go
@@ -97,14 +97,17 @@
 	return share*float64(r.otherServers) <= maxLoadRatio*(1-share)*float64(r.targetServers)
 }
 
-func (r *serviceRollout) toProto(now time.Time) *peerpb.ServiceTrial {
+func (r *serviceRollout) countsToProto(now time.Time) *peerpb.ServiceTrial {
 	return &peerpb.ServiceTrial{
 		Service: r.order.Service, Target: r.order.Target, Revision: r.order.Created, ElapsedMs: r.elapsed(now).Milliseconds(),
 		Worse: r.worse, Routes: r.ownCounts.toProto(), OldInFlight: r.oldInFlight, HeldSessions: r.held.toProto(),
-		ClassTimes: r.times.toProto(),
 	}
 }
 
+func (r *serviceRollout) timesToProto() *peerpb.ServiceTrial {
+	return &peerpb.ServiceTrial{Service: r.order.Service, Target: r.order.Target, Revision: r.order.Created, ClassTimes: r.times.toProto()}
+}
+
 // evaluateFleet adds up the fleet's counts and decides whether the target is worse.
 func (r *serviceRollout) evaluateFleet(others []*peerpb.ServiceTrial) {
 	r.fleetCounts = routeCounts{}
@@ -115,7 +118,6 @@
 		r.fleetOldInFlight += o.GetOldInFlight()
 		r.worse = r.worse || o.GetWorse()
 	}
-	r.times.replaceOthers(others)
 	earlier := routeCounts{}
 	if len(r.recentFleetCounts) > 0 {
 		earlier = r.recentFleetCounts[0]
