--- a/internal/fleet/trial/service.go
+++ b/internal/fleet/trial/service.go
@@ -66,9 +66,11 @@
 	lastCounts  []byte
 	lastTimesAt time.Time
 	writing     bool
-	sessions    *recentSessions
-	departed    departedSessions
-	leaving     bool
+	// sessions are those that this daemon serves, departed those of daemons that left a short while ago.
+	sessions *recentSessions
+	departed departedSessions
+	// leaving is true once this daemon shuts down.
+	leaving bool
 }
 
 // Options holds the bounds that the platform sets for roll-outs.
@@ -170,20 +172,19 @@
 	}
 }
 
-// keepsVersion reports whether a session, or a request without one, may not use the target yet.
+// keepsVersion reports whether a session may not use the target yet, or no session may.
 func (s *Service) keepsVersion(r *serviceRollout, session string, now time.Time) bool {
-	if r.order.finished() || r.sessionsMayMove(now, s.firstHalfShare) {
+	switch {
+	case r.order.finished() || r.sessionsMayMove(now, s.firstHalfShare):
 		return false
-	}
-	if r.elapsed(now) < settleTime {
+	case r.elapsed(now) < settleTime:
 		return true
+	case session == "":
+		return false
+	default:
+		h := hashSession(r.order.Service, session)
+		return r.held.contains(h) || s.sessions.usesOther(r.order.Service, r.order.Target, h, now)
 	}
-	h := hashSession(r.order.Service, session)
-	if session == "" || r.held.contains(h) {
-		return session != ""
-	}
-	u := s.sessions.uses[r.order.Service][h]
-	return u != nil && u.version != r.order.Target && s.sessions.current(u, now)
 }
 
 // sessionPosition hashes a session to [0, 1), independently for each service and target.
--- a/internal/fleet/trial/sessions.go
+++ b/internal/fleet/trial/sessions.go
@@ -75,11 +75,17 @@
 	return u.inFlight > 0 || now.Sub(u.lastUsed) <= t.lifetime
 }
 
+// usesOther reports whether the latest attempt of a current session used another version than the target.
+func (t *recentSessions) usesOther(service, target string, h sessionHash, now time.Time) bool {
+	u := t.uses[service][h]
+	return u != nil && u.version != target && t.current(u, now)
+}
+
 // onOtherVersion returns the current sessions of a service whose latest attempt used another version than the target.
 func (t *recentSessions) onOtherVersion(service, target string, now time.Time) map[sessionHash]*sessionUse {
 	out := map[sessionHash]*sessionUse{}
 	for h, u := range t.uses[service] {
-		if u.version != target && t.current(u, now) {
+		if t.usesOther(service, target, h, now) {
 			out[h] = u
 		}
 	}
--- a/internal/fleet/trial/trial.go
+++ b/internal/fleet/trial/trial.go
@@ -15,7 +15,8 @@
 	order     Order
 	startedAt time.Time
 	ownCounts routeCounts
-	times     classTimes
+	// times are the old version's chunk times, by which responses and streams are judged.
+	times classTimes
 	// oldInFlight is the number of this daemon's attempts in flight at servers of other versions.
 	oldInFlight int64
 	// worse is true once any daemon has found the target worse than the old version.
@@ -29,7 +30,8 @@
 	fleetCounts       routeCounts
 	// fleetOldInFlight is the number of the fleet's attempts in flight at servers of other versions.
 	fleetOldInFlight int64
-	held             heldSessions
+	// held are the sessions that stay on the old version in the first half.
+	held heldSessions
 	// targetServers and otherServers are the numbers of servers of the target and of other versions.
 	targetServers, otherServers int
 }
