trial: count streams that were judged before the old version's times were known

Cause: a stream of the target was counted only if 20 times of the old version with its route and model were known by then.

Why it works: no stream of the first half is lost, whenever the comparison becomes possible.

--- a/internal/decide/rollout/ramp.go
+++ b/internal/decide/rollout/ramp.go
@@ -101,7 +101,7 @@
 
 const (
 	// toleratedSlowShare is the share of slow streams that a version with little load may have.
-	toleratedSlowShare = 0.25
+	toleratedSlowShare = 0.15
 	// speedExposureWeight requires more evidence from speeds, since streams of one server are slow together while the test
 	// takes them for independent.
 	speedExposureWeight = 0.1
--- a/internal/fleet/trial/publish.go
+++ b/internal/fleet/trial/publish.go
@@ -31,6 +31,7 @@
 	for _, r := range s.rollouts {
 		if !r.order.finished() {
 			r.holdSessions(s.sessions, now, s.firstHalfShare)
+			r.countSpeeds()
 			rec.Services = append(rec.Services, r.countsToProto(now))
 		}
 	}
--- a/internal/fleet/trial/service.go
+++ b/internal/fleet/trial/service.go
@@ -255,7 +255,7 @@
 	case srv.Version != r.order.Target:
 		r.times.observe(class, chunkTime)
 	case !firstChunk && r.targetHasLittleLoad(now, s.firstHalfShare):
-		r.countSpeed(route, class, chunkTime)
+		r.addTargetStream(targetStream{route, class, chunkTime})
 	}
 }
 
--- a/internal/fleet/trial/service_test.go
+++ b/internal/fleet/trial/service_test.go
@@ -397,6 +397,26 @@
 	}
 }
 
+// Guards against forgetting streams that were judged before the old version's times were known.
+func TestStreamsJudgedBeforeTheOldTimesAreKnownCountLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(2)
+		f.applyOrder(standardOrder)
+		f.run(2*time.Second, nil)
+		eligible(f.services[0], "x", bothServers)
+		for range 6 {
+			f.services[0].JudgeSpeed(newServer, "r", "r m", 80*time.Millisecond, false)
+		}
+		f.run(time.Second, nil)
+		require.Equal(t, []State{Running}, f.states)
+		for range minSlowSamples {
+			f.services[1].JudgeSpeed(oldServer, "r", "r m", 20*time.Millisecond, false)
+		}
+		f.run(3*time.Second, nil)
+		require.Equal(t, []State{Running, RolledBack}, f.states)
+	})
+}
+
 // Guards against stopping a good version whose few servers have as much load as the old version's.
 func TestSpeedIsNotJudgedOnServersWithAsMuchLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/trial/times.go
+++ b/internal/fleet/trial/times.go
@@ -93,10 +93,11 @@
 	return samples >= minBadSamples && float64(d) > badTimeRatio*float64(usual)
 }
 
-// isSlow reports whether a stream of a server with little load is slow; ok is false while too little is known.
-func (t *classTimes) isSlow(class string, d time.Duration) (slow, ok bool) {
+// slowAbove returns the chunk time above which a stream of a server with little load is slow; ok is false while too
+// little is known.
+func (t *classTimes) slowAbove(class string) (limit time.Duration, ok bool) {
 	fast, samples := t.percentile(class, fastPercentile)
-	return float64(d) > slowTimeRatio*float64(fast), samples >= minSlowSamples
+	return time.Duration(slowTimeRatio * float64(fast)), samples >= minSlowSamples
 }
 
 // percentile returns a percentile of the fleet's chunk times and the number of its samples.
--- a/internal/fleet/trial/trial.go
+++ b/internal/fleet/trial/trial.go
@@ -17,6 +17,8 @@
 	ownCounts routeCounts
 	// times are the old version's chunk times, by which responses and streams are judged.
 	times classTimes
+	// targetStreams are the streams of the target while it had little load, in the order in which they were judged.
+	targetStreams []targetStream
 	// oldInFlight is the number of this daemon's attempts in flight at servers of other versions.
 	oldInFlight int64
 	// worse is true once any daemon has found the target worse than the old version.
@@ -76,10 +78,41 @@
 	r.ownCounts.addResult(route, target, bad)
 }
 
-// countSpeed counts a stream of the target as fast or slow.
-func (r *serviceRollout) countSpeed(route, class string, chunkTime time.Duration) {
-	if slow, ok := r.times.isSlow(class, chunkTime); ok {
-		r.ownCounts.addSpeed(route, slow)
+// targetStream is the speed of a stream of the target.
+type targetStream struct {
+	route, class string
+	chunkTime    time.Duration
+}
+
+// maxTargetStreams bounds the streams by which the target's speed is judged; the latest ones are kept.
+const maxTargetStreams = 1000
+
+func (r *serviceRollout) addTargetStream(st targetStream) {
+	r.targetStreams = append(r.targetStreams, st)
+	if len(r.targetStreams) > maxTargetStreams {
+		r.targetStreams = r.targetStreams[1:]
+	}
+}
+
+// countSpeeds counts the target's streams as fast or slow. It counts all of them again, since the first ones end before
+// enough is known of the old version's.
+func (r *serviceRollout) countSpeeds() {
+	for route, c := range r.ownCounts {
+		c.Speeds = rollout.Responses{}
+		r.ownCounts[route] = c
+	}
+	limits := map[string]time.Duration{}
+	for _, st := range r.targetStreams {
+		limit, cached := limits[st.class]
+		if !cached {
+			if l, ok := r.times.slowAbove(st.class); ok {
+				limit = l
+			}
+			limits[st.class] = limit
+		}
+		if limit > 0 {
+			r.ownCounts.addSpeed(st.route, st.chunkTime > limit)
+		}
 	}
 }
 
