trial: test the factor of 4 by itself

Since TestSlowVersionIsRolledBack is caught by the speeds of streams as well, so that it passed with the factor at 400; nothing else tested the factor, which is all that judges short responses. Ruled out: a fault of the product; the test passes on this code. Change: TestVersionThatStartsItsResponsesLateIsRolledBack, a test only.

--- a/internal/fleet/trial/service_test.go
+++ b/internal/fleet/trial/service_test.go
@@ -453,3 +453,25 @@
 		}
 	}
 }
+
+// Guards against completing a version whose responses are too short to show the speed of a stream, but start late.
+func TestVersionThatStartsItsResponsesLateIsRolledBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(3)
+		f.applyOrder(standardOrder)
+		n := 0
+		f.run(12*time.Second, func(s *Service) {
+			for range 5 {
+				n++
+				srv := serveSession(s, fmt.Sprint(n))
+				toFirstChunk := 10 * time.Millisecond
+				if srv == newServer && n%2 == 0 {
+					toFirstChunk *= 8
+				}
+				s.JudgeSpeed(srv, "r", "r m first", toFirstChunk, true)
+				s.Judge(srv, "r", "r m first", false, toFirstChunk)
+			}
+		})
+		require.Equal(t, RolledBack, f.states[len(f.states)-1])
+	})
+}
