ingress: write the last response to its end before a shutdown closes

Ruled out: Shutdown at the expiry of the entry lists, which would close kept connections while callers still use them.

--- a/internal/edge/ingress/server.go
+++ b/internal/edge/ingress/server.go
@@ -85,6 +85,7 @@
 	cfg      Config
 	http     *http.Server
 	inFlight atomic.Int64
+	inUse    connSet
 	// leavingSince is when the daemon began to shut down; nil before.
 	leavingSince atomic.Pointer[time.Time]
 	metrics      metricCache
@@ -95,7 +96,7 @@
 	s := &Server{cfg: cfg}
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: log.New(io.Discard, "", 0),
+		ErrorLog: log.New(io.Discard, "", 0), ConnState: s.inUse.track,
 	}
 	return s
 }
--- a/internal/edge/ingress/server_test.go
+++ b/internal/edge/ingress/server_test.go
@@ -314,3 +314,30 @@
 		}
 	})
 }
+
+// Guards against closing a connection once the handler of the last request has returned, while net/http still writes the
+// rest of its response.
+func TestLeavingDaemonWritesTheLastResponseToItsEnd(t *testing.T) {
+	const requestDuration, callerPause = 4 * time.Second, time.Second
+	runServer(t, func(ctx context.Context, req *forward.Request, w http.ResponseWriter) error {
+		time.Sleep(requestDuration)
+		return echo(ctx, req, w)
+	}, func(h *harness) {
+		h.tables.Offer(table(1), "test")
+		c := h.dial()
+		_, err := io.WriteString(c.conn, "POST /p/ HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+		require.NoError(t, err)
+		synctest.Wait()
+		h.stop()
+		time.Sleep(requestDuration + callerPause)
+		resp, err := http.ReadResponse(c.reader, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, "p||s|0|/p/|", string(body))
+		began := time.Now()
+		require.NoError(t, <-h.runResult)
+		require.Less(t, time.Since(began), time.Second, "nothing is left to wait for")
+		h.runResult <- nil
+	})
+}
