app/entry: let a few daemons bring a configuration over the link between regions

Ruled out: the store, the announcements, the size of the VMs; see docs/incidents/config-over-the-link.md for the timeline.

--- a/internal/app/entry/daemon.go
+++ b/internal/app/entry/daemon.go
@@ -91,7 +91,7 @@
 	gossip, members, hub := d.buildFleet(ls.peer, store)
 	tables := routing.NewHolder(d.log)
 	d.kernel.Add("configuration", tables)
-	share := newConfigShare(tables, gossip, hub, d.log)
+	share := newConfigShare(tables, gossip, hub, d.cfg.ZoneRegion, func() int { return len(members.Live()) }, d.log)
 	d.kernel.Add("configurationShare", share)
 	servers := registry.New(platform.DecodeServer, d.log)
 	d.kernel.Add("servers", servers)
