engine, service, forward: trust no response that may belong to an earlier request

Cause, by the reports of other operators: (1) on a kept connection, an engine's or service's earlier refusal that was written once more counted as the next response, a service's success too; (2) events that are no chunks, such as an error's text, were passed on within a stream, and a resumed response of another content type could end a stream on the platform; (3) a head cut at any byte was already no response on all three paths. Ruled out: the same on the platform for (1), where each attempt has its own connection. Change: a response on a reused connection needs the attempt's ID, whatever its status; services get a connection for each call, since not all return the ID; events without choices fail an engine's stream; a resumed response must keep the content type.

--- a/internal/back/engine/client.go
+++ b/internal/back/engine/client.go
@@ -74,8 +74,11 @@
 
 // send sends an attempt and checks the status and the header of the response.
 func (c *Client) send(ctx context.Context, call Call) (*openResponse, *Failure) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	var sent, reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		sent.Store(true)
+		reused.Store(info.Reused)
+	}}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost,
 		"http://"+call.Address+"/v1/chat/completions", bytes.NewReader(call.Body))
 	if err != nil {
@@ -93,7 +96,7 @@
 	if err != nil {
 		return nil, sendFailure(ctx, err, sent.Load())
 	}
-	return checkHeader(resp, call)
+	return checkHeader(resp, call, reused.Load())
 }
 
 func sendFailure(ctx context.Context, err error, sent bool) *Failure {
@@ -107,8 +110,17 @@
 	return f
 }
 
-func checkHeader(resp *http.Response, call Call) (*openResponse, *Failure) {
+// checkHeader checks the attempt ID and the status of a response.
+//
+// On a reused connection a response without the attempt's ID may be an earlier one that the engine wrote once more, so
+// that it says nothing about this attempt. On a new connection a failure may lack the ID.
+func checkHeader(resp *http.Response, call Call, reused bool) (*openResponse, *Failure) {
 	opened := &openResponse{resp: resp, load: parseLoad(resp.Header.Get(loadHeader))}
+	got := resp.Header.Get(attemptIDHeader)
+	if got != call.AttemptID && (got != "" || reused || resp.StatusCode == http.StatusOK) {
+		_ = resp.Body.Close()
+		return opened, &Failure{Progress: ResponseStarted, Reason: Mismatch, Cause: errors.Newf("response carries attempt ID %q", got)}
+	}
 	if call.OnLoad != nil && opened.load.Slots > 0 {
 		call.OnLoad(opened.load)
 	}
@@ -121,10 +133,6 @@
 		}
 		return opened, f
 	}
-	if got := resp.Header.Get(attemptIDHeader); got != call.AttemptID {
-		_ = resp.Body.Close()
-		return opened, &Failure{Progress: ResponseStarted, Reason: Mismatch, Cause: errors.Newf("response carries attempt ID %q", got)}
-	}
 	return opened, nil
 }
 
--- a/internal/back/engine/stream.go
+++ b/internal/back/engine/stream.go
@@ -42,6 +42,7 @@
 	nullFinishReason = []byte(`"finish_reason":null`)
 	finishReasonKey  = []byte(`"finish_reason":`)
 	usageKey         = []byte(`"usage":{`)
+	choicesKey       = []byte(`"choices":`)
 	idKey            = []byte(`"id":"`)
 )
 
@@ -166,6 +167,9 @@
 		}
 		return true, nil
 	}
+	if !bytes.Contains(data, choicesKey) {
+		return false, errors.New("an event is not a chunk of a completion")
+	}
 	if err := r.checkID(data); err != nil {
 		return false, err
 	}
--- a/internal/back/service/client.go
+++ b/internal/back/service/client.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	attemptIDHeader     = "X-Request-Id"
-	requestIDHeader     = "Pollencourse-Request-Id"
-	maxIdleConnsPerHost = 64
+	attemptIDHeader = "X-Request-Id"
+	requestIDHeader = "Pollencourse-Request-Id"
 )
 
 // Call is one attempt to be sent to one server of a service.
@@ -38,21 +37,16 @@
 	Body        []byte
 }
 
-// Client sends calls to services.
+// Client sends each call to a service on a new connection.
 type Client struct {
-	// keepAlive reuses connections, which is safe only for idempotent calls; oneCallPerConn is for all others.
-	keepAlive        http.RoundTripper
-	oneCallPerConn   http.RoundTripper
+	transport        http.RoundTripper
 	maxResponseBytes int
 }
 
 // New returns a client that reads responses of at most maxResponseBytes.
 func New(dial engine.DialContext, maxResponseBytes int) *Client {
 	return &Client{
-		keepAlive: &http.Transport{
-			DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes,
-		},
-		oneCallPerConn: &http.Transport{
+		transport: &http.Transport{
 			DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes,
 		},
 		maxResponseBytes: maxResponseBytes,
@@ -75,7 +69,7 @@
 	req.Header.Set(requestIDHeader, call.RequestID)
 	// Keeps the transport from resending the request; only the router retries.
 	req.GetBody = nil
-	resp, err := c.transport(call).RoundTrip(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return nil, sendFailure(ctx, err, sent.Load())
 	}
@@ -83,13 +77,6 @@
 	return c.readResponse(ctx, resp, call)
 }
 
-func (c *Client) transport(call Call) http.RoundTripper {
-	if call.Idempotent {
-		return c.keepAlive
-	}
-	return c.oneCallPerConn
-}
-
 func sendFailure(ctx context.Context, err error, sent bool) *engine.Failure {
 	f := &engine.Failure{Reason: engine.NoConnection, Cause: err}
 	if sent {
--- a/internal/route/forward/stream.go
+++ b/internal/route/forward/stream.go
@@ -96,6 +96,9 @@
 func (h *handler) copyEvents(ctx context.Context, a *attempt, resp *Response) *Failure {
 	defer resp.Body.Close()
 	defer a.stopStallTimer()
+	if f := h.checkContentType(resp); f != nil {
+		return f
+	}
 	flush := http.NewResponseController(h.w)
 	events := newEventReader(resp.Body)
 	for {
@@ -131,6 +134,15 @@
 	}
 }
 
+// checkContentType rejects a response that can't go on with the stream that has begun.
+func (h *handler) checkContentType(resp *Response) *Failure {
+	const name = "Content-Type"
+	if got, want := resp.Header.Get(name), h.w.Header().Get(name); h.headersSent && got != want {
+		return &Failure{Reason: Malformed, Sent: true, Err: errors.Newf("a response of type %q follows a stream of type %q", got, want)}
+	}
+	return nil
+}
+
 // checkOrder rejects an event that can't follow those passed on: bytes that are no events, or events again and again,
 // would otherwise reach the caller for as long as the server sends them.
 func (h *handler) checkOrder(ev []byte, id string) *Failure {
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -80,6 +80,7 @@
 	quality, ok := e.quality(req.Model)
 	if f.Refuse || !ok {
 		w.Header().Set("X-Engine-Leaving", "true")
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		http.Error(w, `{"error":{"message":"request refused"}}`, http.StatusServiceUnavailable)
 		return
 	}
