member, peer: drop the former process of a restarted daemon

Cause: on the platform each process of an entry VM has an ID of its own, and nothing said that a process was gone. After a restart its address leads to the new process. Each such dial was accepted by the new process, which registered the connection in place of a working one and lost it a moment later.

Change, three parts: - A daemon that sees a record with its own address for peers under another ID publishes that the other one is replaced; views leave it out, also as a VM of the list. It is safe if the clock steps, since it does not compare times. A daemon whose address came back contests it. - Records no longer go to suspects; heartbeats to suspects are shared by the fleet, about three a round to each, whatever the fleet's size. - A dial that finds another daemon uses the connection for that one, and the former one is not dialed at that address for 30 s.

TestARestartedDaemonIsNotDialedForItsFormerProcess failed before with 183 lost connections (bound 14). Mutations replacedNodesAreNotDialed, formerDaemonsLeaveTheView and probesAreSharedByTheFleet are caught. Packages with tests of processes pass with the race detector, one run.

--- /dev/null
+++ b/internal/app/entry/restart_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencourse/pollencourse/internal/core/event"
+	"github.com/pollencourse/pollencourse/internal/core/kernel"
+	"github.com/pollencourse/pollencourse/internal/core/settings"
+	"github.com/pollencourse/pollencourse/internal/fleet/member"
+)
+
+// restart stops p and starts the daemon of the same VM again, with the same addresses.
+func restart(t *testing.T, store *storeStandin, p *testDaemon, log *event.Log, seeds ...string) *testDaemon {
+	t.Helper()
+	p.stop()
+	require.NoError(t, <-p.done)
+	old := p.cfg
+	return startDaemonWith(t, store, old.ID, log, func(cfg *settings.Entry) {
+		cfg.CallerAddress, cfg.ReadyAddress, cfg.PeerAddress = old.CallerAddress, old.ReadyAddress, old.PeerAddress
+		cfg.DirectoryAddress, cfg.MetricsAddress = old.DirectoryAddress, old.MetricsAddress
+	}, seeds...)
+}
+
+// Guards against daemons that keep dialing the former process of a restarted one and reach the new process instead: on
+// karamu-quotes-large (inc-828c) each restarted daemon accepted and lost 200 to 1,000 connections a second.
+func TestARestartedDaemonIsNotDialedForItsFormerProcess(t *testing.T) {
+	const (
+		daemonCount = 8
+		observed    = 2 * suspectAfter
+		// maxLost allows each of the others one dial for the former process, and one connection that both sides opened.
+		maxLost = 2 * (daemonCount - 1)
+	)
+	store, _, daemons := startSite(t, 1, daemonCount)
+	seed := daemons[0].cfg.PeerAddress
+	var logs [2]logBuffer
+	for i := range logs {
+		last := daemonCount - 1 - i
+		daemons[last] = restart(t, store, daemons[last], event.New(&logs[i], "info", "json", "restarted"), seed)
+		daemons[last].awaitReady(t)
+	}
+	for began, seq := time.Now(), 2; time.Since(began) < observed; seq++ {
+		store.put("servers", "i-spare", map[string]any{"service": "spare", "address": "127.0.0.1:1", "zone": "a", "version": "v1", "slots": 1, "state": "ready", "seq": seq})
+		time.Sleep(pollInterval)
+	}
+	for i := range logs {
+		require.LessOrEqual(t, strings.Count(logs[i].String(), `"name":"peerLost"`), maxLost, "daemon %d", i)
+	}
+	for _, p := range daemons {
+		members, err := kernel.Lookup[*member.Service](p.kernel, "members")
+		require.NoError(t, err)
+		require.Len(t, members.Members(), daemonCount, "%s: a former process is no member", p.cfg.ID)
+	}
+	for i, p := range daemons {
+		code, body := p.sendRequest(t, "/u/x", fmt.Sprint("after", i))
+		require.Equal(t, 200, code, body)
+	}
+}
--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -70,7 +70,7 @@
 // New returns the membership of the daemon self.
 func New(self peer.Node, gossip Gossip, joiner Joiner, list List, opts Options, log *event.Log) *Service {
 	s := &Service{self: self, gossip: gossip, joiner: joiner, list: list, opts: opts, log: log, lastAnswered: map[string]time.Time{}}
-	for _, prefix := range []string{vmPrefix, daemonPrefix, suspectPrefix} {
+	for _, prefix := range []string{vmPrefix, daemonPrefix, suspectPrefix, replacedPrefix} {
 		gossip.Fleet().Subscribe(prefix, s.handleRecord)
 	}
 	return s
@@ -94,6 +94,10 @@
 		s.refute(r)
 	case daemonPrefix + s.self.ID:
 		s.checkOwnRecord(r)
+	case replacedPrefix + s.self.ID:
+		s.contestReplacement()
+	default:
+		s.replaceFormer(r)
 	}
 	for _, fn := range fns {
 		fn()
@@ -180,36 +184,30 @@
 // Backends returns the backend servers that are not gone.
 func (s *Service) Backends() []vmlist.VM { return s.view().backends }
 
-// Neighbours returns the daemons that this one sends heartbeats and rarely changing records to, and one suspect to probe.
-func (s *Service) Neighbours() []peer.Node {
-	v := s.view()
-	out := slices.Clone(v.overlay.neighbours)
-	if p, ok := randomSuspect(v, s.self.ID); ok {
-		out = append(out, p)
+// Neighbours returns the daemons that this one sends heartbeats and rarely changing records to.
+func (s *Service) Neighbours() []peer.Node { return s.view().overlay.neighbours }
+
+// SuspectsToProbe returns the suspects that this daemon sends a heartbeat to in this round, at most one.
+func (s *Service) SuspectsToProbe() []peer.Node {
+	suspects := s.view().suspects(s.self.ID)
+	// Each daemon that isn't suspected draws with the same chance, so that a suspect gets probesPerSuspect heartbeats a
+	// round on average in a fleet of any size.
+	chance := float64(probesPerSuspect*len(suspects)) / float64(len(s.Live()))
+	if len(suspects) == 0 || rand.Float64() >= chance {
+		return nil
 	}
-	return out
+	return suspects[rand.IntN(len(suspects)):][:1]
 }
 
+// probesPerSuspect is the mean number of heartbeats that the whole fleet sends to a suspect in a round.
+const probesPerSuspect = 3
+
 // TreeNeighbours returns the daemons that this one sends frequently changing records to.
 func (s *Service) TreeNeighbours() []peer.Node { return s.view().overlay.treeNeighbours }
 
 // Aggregators returns the daemons that aggregate the reports of this availability zone.
 func (s *Service) Aggregators() []peer.Node { return s.view().overlay.aggregators }
 
-// randomSuspect picks a suspect to probe, so that a daemon that comes back is noticed.
-func randomSuspect(v *view, self string) (peer.Node, bool) {
-	var suspects []peer.Node
-	for _, m := range v.members {
-		if m.Suspected && m.ID != self {
-			suspects = append(suspects, m.Node)
-		}
-	}
-	if len(suspects) == 0 {
-		return peer.Node{}, false
-	}
-	return suspects[rand.IntN(len(suspects))], true
-}
-
 // HeartbeatAnswered records that a neighbour is alive. It syncs with a suspect that answers, so that the suspect
 // learns of the suspicion and refutes it.
 func (s *Service) HeartbeatAnswered(n peer.Node) {
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -18,6 +18,8 @@
 	vmPrefix      = "vm/"
 	daemonPrefix  = "daemon/"
 	suspectPrefix = "suspect/"
+	// replacedPrefix is followed by the ID of a daemon at whose address another one listens now; see [Service.replaceFormer].
+	replacedPrefix = "replaced/"
 )
 
 // Member is a daemon in this daemon's view of the fleet.
@@ -56,7 +58,7 @@
 	for _, r := range t.Prefix(daemonPrefix) {
 		m, ok := decodeMember(r)
 		vm, listed := vms[m.ID]
-		if !ok || listed && vm.Gone {
+		if !ok || listed && vm.Gone || isReplaced(t, m.ID, m.PeerAddress) {
 			continue
 		}
 		m.Leaving = m.Leaving || vm.Leaving
@@ -65,7 +67,9 @@
 		v.members = append(v.members, m)
 	}
 	for _, vm := range vms {
-		v.addVM(vm, known)
+		if !isReplaced(t, vm.ID, vm.PeerAddress) {
+			v.addVM(vm, known)
+		}
 	}
 	slices.SortFunc(v.members, func(a, b Member) int { return compareHash(a.ID, b.ID) })
 	slices.SortFunc(v.backends, func(a, b vmlist.VM) int { return strings.Compare(a.ID, b.ID) })
@@ -91,6 +95,17 @@
 	return proto.Unmarshal(r.Body, &s) == nil && s.GetRecordVersion() >= m.RecordVersion
 }
 
+// suspects returns the suspected members other than self.
+func (v *view) suspects(self string) []peer.Node {
+	var out []peer.Node
+	for _, m := range v.members {
+		if m.Suspected && m.ID != self {
+			out = append(out, m.Node)
+		}
+	}
+	return out
+}
+
 // compareHash orders IDs by hash, so that neighbours don't depend on naming schemes.
 func compareHash(a, b string) int {
 	ha, hb := xxhash.Sum64String(a), xxhash.Sum64String(b)
--- a/internal/fleet/peer/hub.go
+++ b/internal/fleet/peer/hub.go
@@ -43,6 +43,7 @@
 	dialing           map[string]chan struct{}
 	handlers          map[string]Handler
 	newestIncarnation map[string]int64
+	replaced          replacedNodes
 	superseded        func()
 }
 
@@ -60,7 +61,7 @@
 	return &Hub{
 		self: self, key: sum[:], listener: listener, dial: dial, log: log, superseded: superseded,
 		sessions: map[string]*session{}, dialing: map[string]chan struct{}{},
-		handlers: map[string]Handler{}, newestIncarnation: map[string]int64{}, closed: make(chan struct{}),
+		handlers: map[string]Handler{}, newestIncarnation: map[string]int64{}, replaced: replacedNodes{}, closed: make(chan struct{}),
 	}
 }
 
@@ -122,6 +123,7 @@
 				go func() { _ = s.mux.Close() }()
 			}
 		}
+		h.replaced.expire(time.Now())
 		h.mu.Unlock()
 	}
 }
@@ -310,7 +312,8 @@
 	return fault.New(fault.Unavailable, "check its VM and the network", "daemon %s does not answer", to.ID).WithCause(err)
 }
 
-// connect returns the session to a peer. Concurrent callers share one dial; after a failed one, the next caller dials.
+// connect returns the session to a peer. Concurrent callers share one dial; after a failed one, the next caller dials,
+// unless another daemon was found at the peer's address.
 func (h *Hub) connect(ctx context.Context, to Node) (*session, error) {
 	for {
 		h.mu.Lock()
@@ -318,6 +321,10 @@
 			h.mu.Unlock()
 			return s, nil
 		}
+		if by, ok := h.replaced.by(to, time.Now()); ok {
+			h.mu.Unlock()
+			return nil, errReplaced(to, by)
+		}
 		wait, busy := h.dialing[to.ID]
 		if !busy {
 			wait = make(chan struct{})
@@ -353,15 +360,22 @@
 	if err != nil {
 		return nil, errUnreachable(to, err)
 	}
-	s, err := h.openSession(countingConn{Conn: conn, traffic: &h.traffic}, to)
+	s, err := h.openSession(countingConn{Conn: conn, traffic: &h.traffic})
 	if err != nil {
 		_ = conn.Close()
 		return nil, errUnreachable(to, err)
 	}
-	return h.registerSession(s), nil
+	s = h.registerSession(s)
+	if s.node.ID != to.ID {
+		h.mu.Lock()
+		h.replaced.add(to, s.node.ID, time.Now())
+		h.mu.Unlock()
+		return nil, errReplaced(to, s.node.ID)
+	}
+	return s, nil
 }
 
-func (h *Hub) openSession(conn net.Conn, to Node) (*session, error) {
+func (h *Hub) openSession(conn net.Conn) (*session, error) {
 	node, err := handshakeAsDialer(conn, h.self, h.key)
 	if err != nil {
 		return nil, err
@@ -369,9 +383,6 @@
 	if err := h.checkIncarnation(node); err != nil {
 		return nil, err
 	}
-	if to.ID != "" && node.ID != to.ID {
-		return nil, errors.Newf("address %s is daemon %s, not %s", to.PeerAddress, node.ID, to.ID)
-	}
 	mc := newMuxConn(conn)
 	mux, err := yamux.Client(mc, muxConfig())
 	if err != nil {
@@ -389,7 +400,7 @@
 	if err != nil {
 		return Node{}, errUnreachable(to, err)
 	}
-	s, err := h.openSession(countingConn{Conn: conn, traffic: &h.traffic}, to)
+	s, err := h.openSession(countingConn{Conn: conn, traffic: &h.traffic})
 	if err != nil {
 		_ = conn.Close()
 		return Node{}, errUnreachable(to, err)
--- a/internal/fleet/peer/hub_test.go
+++ b/internal/fleet/peer/hub_test.go
@@ -99,3 +99,45 @@
 	require.True(t, older.superseded.Load())
 	require.False(t, newer.superseded.Load())
 }
+
+// Guards against a dial for each call to a daemon whose address another process has now, and against calls between the
+// others that such a dial would interrupt.
+func TestADaemonReplacedAtItsAddressIsDialedOnce(t *testing.T) {
+	a, b := startHub(t, "a", 1, "key-1"), startHub(t, "b#2", 1, "key-1")
+	dials := 0
+	dial := a.dial
+	a.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		dials++
+		return dial(ctx, address)
+	}
+	former := b.Self()
+	former.ID = "b#1"
+	for range 50 {
+		_, err := callEcho(a, former, "x")
+		require.Equal(t, fault.Unavailable, fault.KindOf(err))
+		require.ErrorContains(t, err, "b#2")
+		got, err := callEcho(a, b.Self(), "y")
+		require.NoError(t, err)
+		require.Equal(t, "a y", got)
+	}
+	require.Equal(t, 1, dials, "the connection that found the other daemon is used for it")
+	elsewhere := former
+	elsewhere.PeerAddress = startHub(t, "b#1", 1, "key-1").Self().PeerAddress
+	_, err := callEcho(a, elsewhere, "x")
+	require.NoError(t, err, "a new address is dialed at once")
+}
+
+func TestAReplacedNodeIsDialedAgainAfterATime(t *testing.T) {
+	now := time.Now()
+	r := replacedNodes{}
+	n := Node{ID: "a", PeerAddress: "10.0.0.1:1"}
+	r.add(n, "b", now)
+	r.expire(now.Add(replacedTimeout - 1))
+	by, ok := r.by(n, now.Add(replacedTimeout-1))
+	require.True(t, ok)
+	require.Equal(t, "b", by)
+	_, ok = r.by(n, now.Add(replacedTimeout))
+	require.False(t, ok)
+	r.expire(now.Add(replacedTimeout))
+	require.Empty(t, r)
+}
--- a/internal/fleet/relay/gossip.go
+++ b/internal/fleet/relay/gossip.go
@@ -33,6 +33,8 @@
 type Overlay interface {
 	// Neighbours returns the daemons that receive heartbeats and rarely changing records.
 	Neighbours() []peer.Node
+	// SuspectsToProbe returns suspected daemons that receive a heartbeat in this round, but no records.
+	SuspectsToProbe() []peer.Node
 	// TreeNeighbours returns the daemons that receive frequently changing records. They are the ends of
 	// a spanning tree's edges, so that a daemon receives each record over few links.
 	TreeNeighbours() []peer.Node
@@ -253,6 +255,9 @@
 			g.startHeartbeat(ctx, n)
 		}
 	}
+	for _, n := range o.SuspectsToProbe() {
+		g.startHeartbeat(ctx, n)
+	}
 }
 
 // reportResendRounds is the number of heartbeat rounds after which reports are sent again.
