--- a/internal/app/entry/restart_test.go
+++ b/internal/app/entry/restart_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -60,3 +62,47 @@
 		require.Equal(t, 200, code, body)
 	}
 }
+
+// Guards against a fleet that denies configured routes, or refuses for long, after all machines lost power at once
+// (inc-8175 of maslena-forma, inc-45fa of maslena-forma-grown, inc-828c of karamu-quotes-large).
+func TestAFleetThatStartsAtOnceRecoversInTime(t *testing.T) {
+	const (
+		daemonCount = 6
+		// recovery is the time that the platforms seen so far allow.
+		recovery = 15 * time.Second
+	)
+	store := newStoreStandin(t)
+	putConfig(store, 1)
+	s := newServerStandin(t, "i-0")
+	store.put("servers", s.id, s.entrySpec("s", "ready", 1))
+	var logs [daemonCount]logBuffer
+	var daemons []*testDaemon
+	var seeds []string
+	for i := range daemonCount {
+		name := fmt.Sprint("d", i)
+		daemons = append(daemons, startDaemonWith(t, store, name, event.New(&logs[i], "info", "json", name), func(cfg *settings.Entry) {
+			if i%2 == 1 {
+				cfg.Region, cfg.AvailabilityZone = "q", "b"
+			}
+		}, seeds...))
+		seeds = append(seeds, daemons[i].cfg.PeerAddress)
+	}
+	began := time.Now()
+	var wg sync.WaitGroup
+	for i, p := range daemons {
+		wg.Go(func() {
+			code, body := 0, ""
+			for n := 0; code != http.StatusOK && time.Since(began) < recovery; n++ {
+				time.Sleep(pollInterval)
+				code, body = p.sendRequest(t, "/u/x", fmt.Sprintf("start-%d-%d", i, n))
+				if code < http.StatusInternalServerError && code != http.StatusOK {
+					break
+				}
+			}
+			if code != http.StatusOK {
+				t.Errorf("%s after %s: %d %s\n%s", p.cfg.ID, time.Since(began), code, body, logs[i].String())
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/fleet/peer/doc.go
+++ b/internal/fleet/peer/doc.go
@@ -4,5 +4,6 @@
 // there is no full mesh. A call names a service of the other daemon and carries one
 // message each way. At the start of a connection both sides prove that they know the
 // fleet's key and state their incarnation: of two processes with the same daemon ID only
-// the newer one is accepted, and the older one stops.
+// the newer one is accepted, and the older one stops. A peer at whose address another
+// daemon answers is not dialed there again for a while.
 package peer
