--- a/internal/fleet/peer/replaced.go
+++ b/internal/fleet/peer/replaced.go
@@ -19,7 +19,7 @@
 	seen time.Time
 }
 
-// replacedTimeout bounds how long an address that has been returned to its former daemon is not dialed.
+// replacedTimeout bounds how long a daemon that has its address back is not dialed there.
 const replacedTimeout = 30 * time.Second
 
 func (r replacedNodes) add(n Node, by string, now time.Time) {
