--- a/internal/route/forward/notices_test.go
+++ b/internal/route/forward/notices_test.go
@@ -38,7 +38,7 @@
 			t.Run(string(kind)+" "+name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					up := &fakeUpstream{}
-					up.script = func(_ context.Context, n int, a Attempt) (*Response, *Failure) {
+					up.script = func(_ context.Context, n int, _ Attempt) (*Response, *Failure) {
 						r := response(200, numberedEvents(n, n))
 						if n == 1 {
 							r = first()
