entry, mutations: make the test of a fleet's start able to fail

Cause: TestAFleetThatStartsAtOnceRecoversInTime was to guard against denied routes of daemons without a configuration, but the fleet was configured in 0.4 s, before a request gave up waiting. A trial that answers 404 there passed. Ruled out: that the line is never reached (it is, once the store is away). Change: the store is away for the first 2 s, and at least one refusal as not run has to be seen; the bound of 15 s stays, counted from the store's return. No product code is changed.

--- a/internal/app/entry/restart_test.go
+++ b/internal/app/entry/restart_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,12 +65,15 @@
 }
 
 // Guards against a fleet that denies configured routes, or refuses for long, after all machines lost power at once
-// (inc-8175 of maslena-forma, inc-45fa of maslena-forma-grown, inc-828c of karamu-quotes-large).
+// (inc-8175 of maslena-forma, inc-45fa of maslena-forma-grown, inc-828c of karamu-quotes-large). The store is away at
+// first, so that every daemon is without a configuration for a while.
 func TestAFleetThatStartsAtOnceRecoversInTime(t *testing.T) {
 	const (
 		daemonCount = 6
 		// recovery is the time that the platforms seen so far allow.
 		recovery = 15 * time.Second
+		// outage is how long the store is away at first: longer than a request waits for a configuration.
+		outage = 2 * time.Second
 	)
 	store := newStoreStandin(t)
 	putConfig(store, 1)
@@ -80,6 +84,7 @@
 	var seeds []string
 	for i := range daemonCount {
 		name := fmt.Sprint("d", i)
+		store.setUnresponsive(name, true)
 		daemons = append(daemons, startDaemonWith(t, store, name, event.New(&logs[i], "info", "json", name), func(cfg *settings.Entry) {
 			if i%2 == 1 {
 				cfg.Region, cfg.AvailabilityZone = "q", "b"
@@ -87,17 +92,26 @@
 		}, seeds...))
 		seeds = append(seeds, daemons[i].cfg.PeerAddress)
 	}
+	time.AfterFunc(outage, func() {
+		for _, p := range daemons {
+			store.setUnresponsive(p.cfg.ID, false)
+		}
+	})
 	began := time.Now()
+	var refused atomic.Int64
 	var wg sync.WaitGroup
 	for i, p := range daemons {
 		wg.Go(func() {
 			code, body := 0, ""
-			for n := 0; code != http.StatusOK && time.Since(began) < recovery; n++ {
+			for n := 0; code != http.StatusOK && time.Since(began) < outage+recovery; n++ {
 				time.Sleep(pollInterval)
 				code, body = p.sendRequest(t, "/u/x", fmt.Sprintf("start-%d-%d", i, n))
 				if code < http.StatusInternalServerError && code != http.StatusOK {
 					break
 				}
+				if code == http.StatusServiceUnavailable && strings.Contains(body, "notRun") {
+					refused.Add(1)
+				}
 			}
 			if code != http.StatusOK {
 				t.Errorf("%s after %s: %d %s\n%s", p.cfg.ID, time.Since(began), code, body, logs[i].String())
@@ -105,4 +119,5 @@
 		})
 	}
 	wg.Wait()
+	require.Positive(t, refused.Load(), "no daemon was without a configuration")
 }
