replica: log who reads the store, why, and how old its last response is

The incident's logs could not tell readers that vouch for a store they have not heard from daemons that probe too late. 206 says why a daemon that is not a reader begins to read, with the age of the last beacon; 207 and 208 say when a daemon begins and ends to send beacons, with the time since the store last answered it. No decision changes.

--- a/internal/app/entry/daemon.go
+++ b/internal/app/entry/daemon.go
@@ -99,14 +99,14 @@
 		ExposureShare: d.cfg.Bounds.ExposureShare, SessionLifetime: d.cfg.Bounds.SessionLifetime,
 	}, d.log)
 	d.kernel.Add("trials", trials)
+	health := mirror.NewHealth()
 	isSeed := len(d.cfg.Seeds) == 0 || slices.Contains(d.cfg.Seeds, d.cfg.PeerAddress)
 	storeReplica := replica.New(d.processID, gossip, replica.Options{
 		IsReader: func() bool { return isReader(members) }, ConfigLagging: share.isLagging,
-		LiveDaemons: func() int { return len(members.Live()) }, Seed: isSeed,
+		LiveDaemons: func() int { return len(members.Live()) }, Seed: isSeed, StoreHeard: health.Heard,
 	}, d.log)
 	tables.OnChange(func(t *routing.Table) { storeReplica.AddToDigest("configuration", t.Revision) })
 	d.kernel.Add("replica", storeReplica)
-	health := mirror.NewHealth()
 	addMirror := func(kind string, sink mirror.Sink, opts mirror.Options) {
 		d.kernel.Add("mirror of "+kind, mirror.New(store, kind, sink, storeReplica, health, opts, d.log))
 	}
--- a/internal/config/mirror/health.go
+++ b/internal/config/mirror/health.go
@@ -12,6 +12,8 @@
 	mu          sync.Mutex
 	unavailable bool
 	recovered   chan struct{}
+	// heard is when the mirror that probes the store last got a response.
+	heard time.Time
 }
 
 // NewHealth returns the health of a store that is assumed to be available.
@@ -28,6 +30,20 @@
 	h.unavailable = !ok
 }
 
+// RecordHeard records when the store last answered the mirror that probes it.
+func (h *Health) RecordHeard(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heard = at
+}
+
+// Heard returns when the store last answered the mirror that probes it; zero if it never did.
+func (h *Health) Heard() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.heard
+}
+
 // Wait returns after d, or earlier if the store recovers or ctx ends.
 func (h *Health) Wait(ctx context.Context, d time.Duration) {
 	h.mu.Lock()
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -188,6 +188,9 @@
 	defer m.mu.Unlock()
 	m.revision = revision
 	m.lastResponse = time.Now()
+	if m.opts.Probes {
+		m.health.RecordHeard(m.lastResponse)
+	}
 }
 
 // recordOutcome logs when the store becomes unavailable or recovers, and reports whether the previous call failed.
--- a/internal/config/replica/replica.go
+++ b/internal/config/replica/replica.go
@@ -88,6 +88,8 @@
 	reading bool
 	// allListed requests a beacon once this daemon has listed all kinds.
 	allListed chan struct{}
+	// why is the reason to read the store at the last call of Active.
+	why readReason
 	// nextProbe is when a daemon that receives no beacons calls the store itself; zero after each beacon.
 	nextProbe time.Time
 }
@@ -101,6 +103,8 @@
 	ConfigLagging func() bool
 	// LiveDaemons returns the number of live daemons.
 	LiveDaemons func() int
+	// StoreHeard returns when the store last answered this daemon; zero if it never did.
+	StoreHeard func() time.Time
 	// Seed is true for a daemon that others contact when they start; it reads the store without waiting for peers.
 	Seed bool
 }
@@ -224,22 +228,57 @@
 // Loaded is closed once this daemon has read all kinds from the store or has agreed with a reader's digest.
 func (r *Replica) Loaded() <-chan struct{} { return r.loaded }
 
+// readReason says why a daemon reads the store.
+type readReason string
+
+// The reasons to read the store; notReading is none.
+const (
+	notReading           readReason = ""
+	reasonReader         readReason = "reader"
+	reasonConfigLagging  readReason = "configLagging"
+	reasonNoReader       readReason = "noReader"
+	reasonDigestMismatch readReason = "digestMismatch"
+)
+
 // Active reports whether this daemon has to read the store.
 func (r *Replica) Active() bool {
-	mustRead := r.opts.IsReader() || r.opts.ConfigLagging()
+	isReader, lagging := r.opts.IsReader(), r.opts.ConfigLagging()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	why := r.reasonToRead(now, isReader, lagging)
+	if why != r.why && why != notReading && why != reasonReader {
+		r.log.Emit(event.StoreReadBegun, "why", string(why), "beaconAgeMs", millisSince(now, r.lastBeacon), "agreedAgeMs", millisSince(now, r.lastAgreement))
+	}
+	r.why = why
+	return why != notReading
+}
+
+// reasonToRead returns why this daemon has to read the store, if it has to; r.mu is held.
+func (r *Replica) reasonToRead(now time.Time, isReader, lagging bool) readReason {
 	switch {
 	case now.Before(r.waitForPeersUntil):
-		return false
-	case mustRead:
-		return true
+		return notReading
+	case isReader:
+		return reasonReader
+	case lagging:
+		return reasonConfigLagging
 	case now.Sub(r.lastBeacon) > beaconTimeout:
-		return r.reading || r.probeDue(now)
-	default:
-		return r.beaconDigest != r.digest && now.Sub(r.lastAgreement) > digestMismatchTimeout
+		if r.reading || r.probeDue(now) {
+			return reasonNoReader
+		}
+	case r.beaconDigest != r.digest && now.Sub(r.lastAgreement) > digestMismatchTimeout:
+		return reasonDigestMismatch
+	}
+	return notReading
+}
+
+// millisSince returns the milliseconds from t to now, or -1 if t is zero.
+func millisSince(now, t time.Time) int64 {
+	if t.IsZero() {
+		return -1
 	}
+	return now.Sub(t).Milliseconds()
 }
 
 // probeDue reports whether this daemon's next call to a store that no reader reaches is due; r.mu is held.
@@ -277,7 +316,7 @@
 func (r *Replica) Run(ctx context.Context) error {
 	ticker := time.NewTicker(beaconInterval)
 	defer ticker.Stop()
-	wasSubstitute := false
+	wasSubstitute, published := false, false
 	for {
 		select {
 		case <-ctx.Done():
@@ -295,6 +334,10 @@
 			r.log.Emit(event.ReaderReplaced, "lastReaderHeard", lastBeacon)
 		}
 		wasSubstitute = isSubstitute
+		if publishes != published {
+			r.logBeacons(publishes)
+		}
+		published = publishes
 		if !publishes {
 			continue
 		}
@@ -308,6 +351,15 @@
 	}
 }
 
+// logBeacons logs that this daemon begins or ends to publish beacons.
+func (r *Replica) logBeacons(publishes bool) {
+	e := event.BeaconsEnded
+	if publishes {
+		e = event.BeaconsBegun
+	}
+	r.log.Emit(e, "storeSilentMs", millisSince(time.Now(), r.opts.StoreHeard()))
+}
+
 // Dump shows whether this daemon reads the store and when its digest last agreed with a reader's.
 func (r *Replica) Dump() any {
 	r.mu.Lock()
@@ -315,7 +367,9 @@
 	return struct {
 		Objects int       `json:"objects"`
 		Reading bool      `json:"reading"`
+		Why     string    `json:"why"`
+		Store   time.Time `json:"storeHeard"`
 		Heard   time.Time `json:"heard"`
 		Agreed  time.Time `json:"agreed"`
-	}{len(r.hashes), r.reading, r.lastBeacon, r.lastAgreement}
+	}{len(r.hashes), r.reading, string(r.why), r.opts.StoreHeard(), r.lastBeacon, r.lastAgreement}
 }
--- a/internal/core/event/catalogue.go
+++ b/internal/core/event/catalogue.go
@@ -29,6 +29,9 @@
 	StoreHistoryGone  = Event{204, "storeHistoryGone", log.InfoLevel, "the store no longer has the history that a watch asked for; all objects are listed again", "none"}
 	ReaderReplaced    = Event{205, "readerReplaced", log.InfoLevel, "no reader has reported for some time, so this daemon reads the store for the others", "check why the readers, the first daemons of each availability zone, do not reach the store: they log event 200"}
 	StoreBudgetSpent  = Event{203, "storeBudgetSpent", log.WarnLevel, "the rate limit of store calls is reached; further calls wait", "raise storeCallRate or add daemons"}
+	StoreReadBegun    = Event{206, "storeReadBegun", log.InfoLevel, "this daemon, which is not a reader, begins to call the store itself", "see the field why; if most daemons log it at once, check why the readers do not reach the store: they log events 200 and 208"}
+	BeaconsBegun      = Event{207, "beaconsBegun", log.InfoLevel, "this daemon has listed all kinds of objects and tells the others that it reads the store for them", "none"}
+	BeaconsEnded      = Event{208, "beaconsEnded", log.InfoLevel, "this daemon no longer tells the others that it reads the store", "if storeSilentMs is there and large, check the path from this VM to the store"}
 	VMListUnavailable = Event{210, "vmListUnavailable", log.WarnLevel, "the VM list does not respond; the last list stays in use", "restore the platform's VM list"}
 
 	ConfigInForce = Event{300, "configInForce", log.InfoLevel, "a configuration came into force", "none"}
@@ -85,7 +88,7 @@
 // Catalogue lists every event, area by area.
 var Catalogue = []Event{
 	DaemonStarted, DaemonStopping, DaemonStopped, DaemonSuperseded, ServiceFailed, Reloaded, ReloadFailed,
-	StoreUnavailable, StoreReturned, StoreWentBack, StoreBudgetSpent, StoreHistoryGone, ReaderReplaced, VMListUnavailable,
+	StoreUnavailable, StoreReturned, StoreWentBack, StoreBudgetSpent, StoreHistoryGone, ReaderReplaced, StoreReadBegun, BeaconsBegun, BeaconsEnded, VMListUnavailable,
 	ConfigInForce, ConfigRefused, ConfigMissing, ConfigStale,
 	ServerEntry, ServerGone, ServerEntryUnreadable, ServerLeaving,
 	PeerConnected, PeerLost, PeerSuspected, PeerRejoined, PeerMessageWrong, PauseNoticed,
