replica: rely on the readers only while one of them has heard the store

Cause: a reader's beacon said that its sender follows the store, not since when. Of a silent store that is known only when a watch ends: 3.5 s for the configuration, whose end did not count, and up to 8 s for servers and roll-outs, which did. Then a further 1.6 s without beacons, and up to 8 s until a daemon that reaches the store probed it.

Ruled out: a configuration that was read and did not spread, and watches that hear no change.

Why it works: beacons carry the age of the last response by the short watch of the configuration. Each daemon reads for itself when the newest contact is older than configApplyMs less the time for its own read, so that no change accepted after that contact is late; it goes on until it agrees with a reader. Later probes have a bound derived from the same setting. A mirror that finds the store silent ends the watches of the others, and the configuration counts among what a reader follows.

Changed tests: those of the replica waited for beaconTimeout, which is gone, and now wait for what the bound allows; the mean of the probes' delays and its bound follow from the setting. The sum of configtime_test is checked for each bound, against the bound itself where it is less than 4 s.

--- a/internal/app/entry/configtime_test.go
+++ b/internal/app/entry/configtime_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pollencourse/pollencourse/internal/core/settings"
+	"github.com/pollencourse/pollencourse/platform"
 )
 
 // maxConfigDelayAfterStoreFault is the platform's strictest bound on the time from the end of a store fault until a
@@ -16,5 +19,8 @@
 // change, over the link between regions after a further delay.
 func TestAConfigurationMissedByAWatchIsInForceInTime(t *testing.T) {
 	const interRegionDelay = 250 * time.Millisecond // the time that a record and a pull take between regions
-	require.LessOrEqual(t, configWatchTimeout+remotePullDelay+maxOtherRegionDelay+interRegionDelay, maxConfigDelayAfterStoreFault)
+	for _, bound := range []time.Duration{3 * time.Second, 4 * time.Second, 5 * time.Second} {
+		watchTimeout := mirrorOptions(platform.KindConfig, settings.Bounds{ConfigApply: bound}).WatchTimeout
+		require.LessOrEqual(t, watchTimeout+remotePullDelay+maxOtherRegionDelay+interRegionDelay, min(bound, maxConfigDelayAfterStoreFault))
+	}
 }
--- a/internal/app/entry/daemon.go
+++ b/internal/app/entry/daemon.go
@@ -103,16 +103,20 @@
 	isSeed := len(d.cfg.Seeds) == 0 || slices.Contains(d.cfg.Seeds, d.cfg.PeerAddress)
 	storeReplica := replica.New(d.processID, gossip, replica.Options{
 		IsReader: func() bool { return isReader(members) }, ConfigLagging: share.isLagging,
-		LiveDaemons: func() int { return len(members.Live()) }, Seed: isSeed, StoreHeard: health.Heard,
+		LiveDaemons: func() int { return len(members.Live()) }, Seed: isSeed, StoreHeard: health.Heard, ApplyWithin: d.cfg.Bounds.ConfigApply,
 	}, d.log)
 	tables.OnChange(func(t *routing.Table) { storeReplica.AddToDigest("configuration", t.Revision) })
 	d.kernel.Add("replica", storeReplica)
-	addMirror := func(kind string, sink mirror.Sink, opts mirror.Options) {
-		d.kernel.Add("mirror of "+kind, mirror.New(store, kind, sink, storeReplica, health, opts, d.log))
+	for _, m := range []struct {
+		kind string
+		sink mirror.Sink
+	}{
+		{platform.KindConfig, storeReplica.Track(platform.KindConfig, share)},
+		{platform.KindServers, storeReplica.Follow(platform.KindServers, servers)},
+		{platform.KindRollouts, storeReplica.Follow(platform.KindRollouts, trials)},
+	} {
+		d.kernel.Add("mirror of "+m.kind, mirror.New(store, m.kind, m.sink, storeReplica, health, mirrorOptions(m.kind, d.cfg.Bounds), d.log))
 	}
-	addMirror(platform.KindConfig, share, mirror.Options{MaxBackoff: maxProbeBackoff, WatchTimeout: configWatchTimeout, Probes: true})
-	addMirror(platform.KindServers, storeReplica.Follow(platform.KindServers, servers), mirror.Options{BatchWindow: serverBatchWindow, MaxBackoff: maxIdleBackoff, WatchTimeout: watchTimeout})
-	addMirror(platform.KindRollouts, storeReplica.Follow(platform.KindRollouts, trials), mirror.Options{MaxBackoff: maxIdleBackoff, WatchTimeout: watchTimeout})
 	d.buildEdges(ls, &loadedTables{tables, storeReplica.Loaded()}, members, trials, d.buildRouter(servers, trials, members))
 }
 
@@ -121,11 +125,13 @@
 	// that of the other mirrors, which are woken when the probe succeeds.
 	maxProbeBackoff = 400 * time.Millisecond
 	maxIdleBackoff  = 3 * time.Second
-	// watchTimeout is the longest time that one watch waits for a change; the platform allows 30 s. The watch of the
-	// configuration is shorter: a configuration has to be in force on all daemons 4 s after a store fault ends, and
-	// 2.5 s leave 1.5 s to share a change that a watch missed.
-	watchTimeout       = 7 * time.Second
-	configWatchTimeout = 2500 * time.Millisecond
+	// watchTimeout is the longest time that one watch waits for a change; the platform allows 30 s.
+	watchTimeout = 7 * time.Second
+	// configWatchDivisor sets the longest time that a watch of the configuration waits: the time within which a
+	// configuration has to be in force, divided by configWatchDivisor. It is short because the daemons rely on readers
+	// only while a watch of the configuration has just ended (see [replica.Options.ApplyWithin]), and because a change
+	// that a watch missed has to be shared after the watch.
+	configWatchDivisor = 3
 	// serverBatchWindow lets the entries of servers that start together arrive in one call. The delay is harmless
 	// because a draining server may get new requests for seconds.
 	serverBatchWindow = 350 * time.Millisecond
@@ -134,6 +140,18 @@
 	minReaders = 2
 )
 
+// mirrorOptions returns how the objects of a kind are read. The mirror of the configuration is the one that probes.
+func mirrorOptions(kind string, b settings.Bounds) mirror.Options {
+	switch kind {
+	case platform.KindConfig:
+		return mirror.Options{MaxBackoff: maxProbeBackoff, WatchTimeout: b.ConfigApply / configWatchDivisor, Probes: true}
+	case platform.KindServers:
+		return mirror.Options{BatchWindow: serverBatchWindow, MaxBackoff: maxIdleBackoff, WatchTimeout: watchTimeout}
+	default:
+		return mirror.Options{MaxBackoff: maxIdleBackoff, WatchTimeout: watchTimeout}
+	}
+}
+
 // isReader reports whether this daemon reads the store for the others. The readers are the first daemons of each
 // availability zone: minReaders divided by the number of zones, rounded up.
 func isReader(members *member.Service) bool {
--- a/internal/app/entry/readerloss_test.go
+++ b/internal/app/entry/readerloss_test.go
@@ -1,13 +1,17 @@
 package entry
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencourse/pollencourse/internal/core/kernel"
+	"github.com/pollencourse/pollencourse/internal/core/settings"
 	"github.com/pollencourse/pollencourse/internal/fleet/member"
 )
 
@@ -40,3 +44,38 @@
 	require.Eventually(t, func() bool { code, _ := able.sendRequest(t, "/fresh/x", "f"); return code == 200 }, 2*settleTimeout, pollInterval)
 	require.Less(t, time.Since(began), 3*time.Second, "the platform allows three seconds")
 }
+
+// Guards against timeouts whose sum exceeds the bound: of a watch, of the beacons, and of the reads of daemons that
+// are not readers.
+func TestEachDaemonThatTheStoreAnswersReadsAChangeInTime(t *testing.T) {
+	for _, tc := range []struct {
+		daemons, able int
+		bound         time.Duration
+		// contact is how long the store has to have answered a daemon before the bound holds for it.
+		contact time.Duration
+	}{
+		{7, 1, 3 * time.Second, 4 * time.Second},
+		{40, 1, 3 * time.Second, 4 * time.Second},
+		{78, 4, 4 * time.Second, 5 * time.Second},
+		{95, 1, 5 * time.Second, 5 * time.Second},
+		{95, 30, 5 * time.Second, 5 * time.Second},
+	} {
+		for trial := range 5 {
+			t.Run(fmt.Sprintf("%d of %d daemons, trial %d", tc.able, tc.daemons, trial), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := startReadingFleet(t.Context(), tc.daemons, settings.Bounds{ConfigApply: tc.bound})
+					time.Sleep(5*time.Second + rand.N(3*time.Second))
+					for _, wait := range []time.Duration{tc.bound, tc.contact, tc.contact} {
+						able := f.answerOnly(tc.able)
+						f.write()
+						time.Sleep(wait)
+						for d := range able {
+							require.Equal(t, f.currentRevision(), d.inForce())
+						}
+						time.Sleep(tc.bound)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/config/mirror/health.go
+++ b/internal/config/mirror/health.go
@@ -12,32 +12,56 @@
 	mu          sync.Mutex
 	unavailable bool
 	recovered   chan struct{}
-	// heard is when the mirror that probes the store last got a response.
+	// lost is closed when the store becomes unavailable.
+	lost chan struct{}
+	// heard is the time up to which the mirror that probes the store has applied its changes.
 	heard time.Time
 }
 
 // NewHealth returns the health of a store that is assumed to be available.
-func NewHealth() *Health { return &Health{recovered: make(chan struct{})} }
+func NewHealth() *Health {
+	return &Health{recovered: make(chan struct{}), lost: make(chan struct{})}
+}
 
 // Record records whether a call succeeded.
 func (h *Health) Record(ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if ok && h.unavailable {
+	switch {
+	case ok && h.unavailable:
 		close(h.recovered)
-		h.recovered = make(chan struct{})
+		h.recovered, h.lost = make(chan struct{}), make(chan struct{})
+	case !ok && !h.unavailable:
+		close(h.lost)
 	}
 	h.unavailable = !ok
 }
 
-// RecordHeard records when the store last answered the mirror that probes it.
+// WithAvailability returns a context that ends with [ErrUnavailable] as its cause once the store is unavailable.
+func (h *Health) WithAvailability(ctx context.Context) (context.Context, context.CancelFunc) {
+	h.mu.Lock()
+	lost := h.lost
+	h.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		select {
+		case <-lost:
+			cancel(ErrUnavailable)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(context.Canceled) }
+}
+
+// RecordHeard records that the mirror that probes the store has applied the changes up to a time.
 func (h *Health) RecordHeard(at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.heard = at
 }
 
-// Heard returns when the store last answered the mirror that probes it; zero if it never did.
+// Heard returns the time up to which the mirror that probes the store has applied its changes; zero if the store never
+// answered it.
 func (h *Health) Heard() time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -12,6 +12,9 @@
 	"github.com/pollencourse/pollencourse/internal/core/event"
 )
 
+// ErrUnavailable ends the calls of a mirror when another mirror finds that the store does not respond.
+var ErrUnavailable = errors.New("another call found the store unavailable")
+
 // ErrHistoryGone is returned by a [Source] that no longer has the changes after the requested revision.
 var ErrHistoryGone = errors.New("the store no longer has the changes after the requested revision")
 
@@ -47,7 +50,7 @@
 	Replace(objects []Object, revision int64, afterOutage bool)
 	// Apply applies one change.
 	Apply(c Change)
-	// Reading is called with false when the mirror stops following the store.
+	// Reading is called with true once a list is applied, and with false when the mirror stops following the store.
 	Reading(ok bool)
 }
 
@@ -131,16 +134,23 @@
 
 // follow lists and then watches until a call fails, the history is gone or the gate is no longer active.
 func (m *Mirror) follow(ctx context.Context, listed func()) error {
-	objects, revision, err := m.list(ctx)
+	callCtx, cancel := m.callContext(ctx)
+	defer cancel()
+	asked := time.Now()
+	objects, revision, err := m.list(callCtx)
 	if err != nil {
 		m.recordOutcome(ctx, err)
 		return err
 	}
 	m.sink.Replace(objects, revision, m.recordOutcome(ctx, nil))
-	m.recordRevision(revision)
+	m.recordRevision(revision, asked)
+	m.sink.Reading(true)
 	listed()
 	for m.gate.Active() {
-		changes, next, err := m.source.Watch(ctx, m.kind, revision, m.nextWatchTimeout())
+		changes, next, err := m.source.Watch(callCtx, m.kind, revision, m.nextWatchTimeout())
+		if err != nil && errors.Is(context.Cause(callCtx), ErrUnavailable) {
+			err = ErrUnavailable
+		}
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			m.log.Emit(event.StoreHistoryGone, "kind", m.kind, "revision", revision)
@@ -155,16 +165,25 @@
 		if len(changes) == 0 {
 			// A watch without changes doesn't prove that there were none, since the store may have failed to deliver
 			// them. Watching again from the same revision returns them or ErrHistoryGone.
-			m.recordRevision(revision)
+			m.recordRevision(revision, time.Now())
 			continue
 		}
 		revision = max(revision, next)
-		m.recordRevision(revision)
+		m.recordRevision(revision, time.Now())
 		sleep(ctx, m.opts.BatchWindow)
 	}
 	return nil
 }
 
+// callContext returns the context of the calls of one round. Those of a mirror that does not probe end as soon as the one
+// that probes finds the store unavailable, since their watches would wait much longer for a store that is silent.
+func (m *Mirror) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if m.opts.Probes {
+		return context.WithCancel(ctx)
+	}
+	return m.health.WithAvailability(ctx)
+}
+
 // nextWatchTimeout returns the timeout of the next watch.
 func (m *Mirror) nextWatchTimeout() time.Duration {
 	return time.Duration(float64(m.opts.WatchTimeout) * (1 - watchTimeoutJitter*rand.Float64()))
@@ -183,13 +202,14 @@
 	return objects, revision, err
 }
 
-func (m *Mirror) recordRevision(revision int64) {
+// recordRevision records that this mirror has applied every change that the store had accepted at a time.
+func (m *Mirror) recordRevision(revision int64, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.revision = revision
 	m.lastResponse = time.Now()
 	if m.opts.Probes {
-		m.health.RecordHeard(m.lastResponse)
+		m.health.RecordHeard(at)
 	}
 }
 
--- a/internal/config/mirror/outage_test.go
+++ b/internal/config/mirror/outage_test.go
@@ -72,3 +72,44 @@
 		require.Equal(t, 1, lists, "the recovery wakes the waiting mirrors")
 	})
 }
+
+// readingSink records whether its mirror follows the store.
+type readingSink struct {
+	recordingSink
+	reading bool
+}
+
+func (s *readingSink) Reading(ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reading = ok
+}
+
+func (s *readingSink) isReading() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reading
+}
+
+// Guards against a mirror that waits for the end of a long watch of a store that has fallen silent.
+func TestWatchesEndOnceAnotherMirrorFindsTheStoreUnavailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		health := NewHealth()
+		probing, waiting := &fakeStore{objects: map[string]Object{}}, &fakeStore{objects: map[string]Object{}}
+		sink := &readingSink{}
+		for _, m := range []*Mirror{
+			New(probing, "short", &recordingSink{}, openGate{}, health, Options{MaxBackoff: 400 * time.Millisecond, WatchTimeout: time.Second, Probes: true}, event.Discard()),
+			New(waiting, "long", sink, openGate{}, health, Options{MaxBackoff: 400 * time.Millisecond, WatchTimeout: time.Hour}, event.Discard()),
+		} {
+			go func() { _ = m.Run(t.Context()) }()
+		}
+		time.Sleep(time.Second)
+		require.True(t, sink.isReading())
+		probing.setUnavailable(true)
+		time.Sleep(time.Second)
+		require.False(t, sink.isReading())
+		probing.setUnavailable(false)
+		time.Sleep(time.Second)
+		require.True(t, sink.isReading(), "the recovery is noticed as before")
+	})
+}
--- a/internal/config/replica/localsink.go
+++ b/internal/config/replica/localsink.go
@@ -42,7 +42,7 @@
 		}
 	}
 	r.gossip.Publish(records...)
-	s.markListed()
+	s.Reading(true)
 }
 
 // Apply publishes one change. A deletion gets at least the revision of the known record, which its tombstone has to
@@ -57,23 +57,18 @@
 	s.replica.gossip.Publish(s.record(c))
 }
 
-// Reading records that the mirror of this kind has stopped following the store if ok is false.
-func (s *localSink) Reading(ok bool) {
-	r := s.replica
+// Reading records whether the mirror of this kind follows the store.
+func (s *localSink) Reading(ok bool) { s.replica.recordReading(s.kind, ok) }
+
+// recordReading records whether a mirror follows the store. Once all kinds are followed, the replica is loaded.
+func (r *Replica) recordReading(kind string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.listed[kind] = ok
 	if !ok {
-		r.listed[s.kind] = false
 		r.reading = false
+		return
 	}
-}
-
-// markListed records that this kind was listed; the replica is loaded once all kinds are.
-func (s *localSink) markListed() {
-	r := s.replica
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.listed[s.kind] = true
 	for _, ok := range r.listed {
 		if !ok {
 			return
@@ -89,6 +84,19 @@
 	r.markLoaded()
 }
 
+// trackedSink is the sink of a kind that is not shared by records; see [Replica.Track].
+type trackedSink struct {
+	mirror.Sink
+	replica *Replica
+	kind    string
+}
+
+// Reading records whether the mirror of this kind follows the store.
+func (s *trackedSink) Reading(ok bool) {
+	s.Sink.Reading(ok)
+	s.replica.recordReading(s.kind, ok)
+}
+
 func (s *localSink) mayReturn(now time.Time) bool {
 	s.replica.mu.Lock()
 	defer s.replica.mu.Unlock()
--- a/internal/config/replica/outage_test.go
+++ b/internal/config/replica/outage_test.go
@@ -19,7 +19,7 @@
 	out := make([]*Replica, n)
 	for i := range out {
 		out[i] = New(fmt.Sprintf("d%02d", i), m.node(), Options{
-			IsReader: notReader, ConfigLagging: notLagging, StoreHeard: time.Now, LiveDaemons: func() int { return n }, Seed: true,
+			IsReader: notReader, ConfigLagging: notLagging, StoreHeard: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return n }, Seed: true,
 		}, event.Discard())
 		out[i].Follow("kind", newTarget())
 	}
@@ -30,8 +30,8 @@
 func TestAStartingDaemonWaitsForItsPeersBeforeReadingTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &mesh{}
-		seed := New("seed", m.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, StoreHeard: time.Now, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
-		late := New("late", m.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, StoreHeard: time.Now, LiveDaemons: func() int { return 1 }}, event.Discard())
+		seed := New("seed", m.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, StoreHeard: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
+		late := New("late", m.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, StoreHeard: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 1 }}, event.Discard())
 		sink := seed.Follow("kind", newTarget())
 		late.Follow("kind", newTarget())
 		go func() { _ = seed.Run(t.Context()) }()
@@ -64,7 +64,8 @@
 					}
 				}
 			}
-			want := float64(n) * float64(span) / float64(min(time.Duration(n)*fleetProbeInterval, maxMeanProbeInterval))
+			longestMean := testApplyWithin / maxProbeDelayDivisor * 3 / 4
+			want := float64(n) * float64(span) / float64(min(time.Duration(n)*fleetProbeInterval, longestMean))
 			require.InDelta(t, want, float64(probes-n), want/3, "%d daemons, without the first probe of each", n)
 		})
 	}
@@ -76,7 +77,7 @@
 		r := newFleet(&mesh{}, 500)[0]
 		for range 100 {
 			r.Failed()
-			time.Sleep(2 * maxMeanProbeInterval)
+			time.Sleep(testApplyWithin / maxProbeDelayDivisor)
 			require.True(t, r.Active())
 		}
 	})
--- a/internal/config/replica/replica.go
+++ b/internal/config/replica/replica.go
@@ -22,13 +22,19 @@
 	beaconPrefix = "storeReader/"
 	// substitutePrefix marks the beacons of substitutes: daemons that read the store because no reader does.
 	substitutePrefix = "substitute/"
-	// beaconInterval is the time between beacons. A daemon that misses three reads the store itself, well within the
-	// seconds in which a change has to reach every daemon.
+	// beaconInterval is the time between beacons.
 	beaconInterval = 500 * time.Millisecond
+	// beaconOrderTolerance is how much older than the newest known one a beacon's time of contact may be. The beacons of
+	// readers that have lost the store would otherwise hide that this daemon differs from one that has not.
+	beaconOrderTolerance = beaconInterval
 	// gatePollInterval is how often a daemon that does not read the store checks whether it has to.
 	gatePollInterval = 200 * time.Millisecond
-	// beaconTimeout is the time without a beacon after which a daemon assumes that no reader reaches the store.
-	beaconTimeout = 1600 * time.Millisecond
+	// ownReadTime is the part of Options.ApplyWithin that a daemon needs to read the store itself: firstReadSpread,
+	// gatePollInterval, and a list.
+	ownReadTime = 1200 * time.Millisecond
+	// firstReadSpread is the range of the random delay before a daemon reads a store that no reader has heard for too
+	// long. The first one that succeeds tells the others.
+	firstReadSpread = 300 * time.Millisecond
 	// digestMismatchTimeout is how long a daemon's digest may differ from a reader's before it reads the store itself.
 	digestMismatchTimeout = 1200 * time.Millisecond
 	// startupPeerWait is how long a starting daemon waits for its peers to send the store's objects: two round trips
@@ -37,9 +43,9 @@
 	// fleetProbeInterval is the mean time between calls, by all daemons that are not readers together, to a store that
 	// no reader reaches.
 	fleetProbeInterval = 80 * time.Millisecond
-	// maxMeanProbeInterval bounds the mean time between two such calls of one daemon, which may be the only one that
-	// reaches the store.
-	maxMeanProbeInterval = 4 * time.Second
+	// maxProbeDelayDivisor sets the longest delay between two such calls of one daemon, which may be the only one that
+	// reaches the store: Options.ApplyWithin divided by maxProbeDelayDivisor.
+	maxProbeDelayDivisor = 2
 	// mayReturnWindow is how long after the store's recovery an object may be missing without having been deleted.
 	mayReturnWindow = 2 * time.Second
 )
@@ -77,10 +83,12 @@
 	hashes map[string]uint64
 	// versions holds the newest version of each record that was delivered.
 	versions map[string]int64
-	// lastBeacon is when the last beacon arrived, beaconDigest the digest in it; lastAgreement is when this daemon's
-	// digest last equalled that one.
-	lastBeacon, lastAgreement time.Time
-	beaconDigest              uint64
+	// storeContact is the time up to which some other daemon has applied the store's changes, by the beacons received.
+	storeContact time.Time
+	// beaconDigest is the digest in the last beacon that counted; lastAgreement is when this daemon's digest last
+	// equalled it.
+	lastAgreement time.Time
+	beaconDigest  uint64
 	// mayReturnUntil is the time until which a missing object may return.
 	mayReturnUntil time.Time
 	loaded         chan struct{}
@@ -90,7 +98,8 @@
 	allListed chan struct{}
 	// why is the reason to read the store at the last call of Active.
 	why readReason
-	// nextProbe is when a daemon that receives no beacons calls the store itself; zero after each beacon.
+	// nextProbe is when a daemon calls a store that no reader has heard for too long. It is zero again once a reader has
+	// heard it and this daemon has agreed with that reader: what a reader has found may take too long to arrive.
 	nextProbe time.Time
 }
 
@@ -103,8 +112,11 @@
 	ConfigLagging func() bool
 	// LiveDaemons returns the number of live daemons.
 	LiveDaemons func() int
-	// StoreHeard returns when the store last answered this daemon; zero if it never did.
+	// StoreHeard returns the time up to which this daemon has applied the store's changes; zero if it never answered.
 	StoreHeard func() time.Time
+	// ApplyWithin is the time within which a change has to be in force on each daemon that the store answers, whether or
+	// not it answers any reader.
+	ApplyWithin time.Duration
 	// Seed is true for a daemon that others contact when they start; it reads the store without waiting for peers.
 	Seed bool
 }
@@ -124,6 +136,15 @@
 	return r
 }
 
+// Track registers a kind of objects that the daemons share by other means than records. The returned sink passes all to
+// the given one; this daemon counts as reading the store only while it follows the kind.
+func (r *Replica) Track(kind string, sink mirror.Sink) mirror.Sink {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listed[kind] = false
+	return &trackedSink{sink, r, kind}
+}
+
 // Follow registers a kind of objects to share: target receives its changes, whichever daemon read them, and the returned
 // sink publishes those that this daemon's own mirror reads.
 func (r *Replica) Follow(kind string, target Target) mirror.Sink {
@@ -189,11 +210,11 @@
 	return h.Sum64()
 }
 
-// handleBeacon records the digest of a daemon that reads the store.
+// handleBeacon records up to when the sender has followed the store, and its digest.
 func (r *Replica) handleBeacon(rec relay.Record) {
 	from, fromSubstitute := strings.CutPrefix(strings.TrimPrefix(rec.Key, beaconPrefix), substitutePrefix)
-	var d peerpb.TableDigest
-	if from == r.self || proto.Unmarshal(rec.Body, &d) != nil {
+	var b peerpb.ReaderBeacon
+	if from == r.self || proto.Unmarshal(rec.Body, &b) != nil {
 		return
 	}
 	isReader := r.opts.IsReader()
@@ -203,16 +224,37 @@
 		return // of several substitutes, the one with the lowest ID continues
 	}
 	now := time.Now()
-	r.lastBeacon, r.beaconDigest, r.nextProbe = now, d.GetRoot(), time.Time{}
+	contact := now.Add(-time.Duration(b.GetStoreSilenceMs()) * time.Millisecond)
+	if contact.Before(r.storeContact.Add(-beaconOrderTolerance)) {
+		return
+	}
+	if contact.After(r.storeContact) {
+		r.storeContact = contact
+	}
+	r.beaconDigest = b.GetRoot()
 	r.checkAgreement(now)
 }
 
+// maxStoreSilence is how old the last contact of any reader with the store may be. A change that the store accepted
+// right after that contact may be known to no reader, so the rest of ApplyWithin is left to read it without them.
+func (r *Replica) maxStoreSilence() time.Duration {
+	return max(r.opts.ApplyWithin-ownReadTime, r.opts.ApplyWithin/2)
+}
+
+// isStoreUnheard reports whether no other daemon is known to have followed the store recently; r.mu is held.
+func (r *Replica) isStoreUnheard(now time.Time) bool {
+	return now.Sub(r.storeContact) > r.maxStoreSilence()
+}
+
 // checkAgreement compares this daemon's digest with the last beacon; r.mu is held.
 func (r *Replica) checkAgreement(now time.Time) {
-	if r.lastBeacon.IsZero() || r.beaconDigest != r.digest {
+	if r.storeContact.IsZero() || r.beaconDigest != r.digest {
 		return
 	}
 	r.lastAgreement = now
+	if !r.isStoreUnheard(now) {
+		r.nextProbe = time.Time{}
+	}
 	r.markLoaded()
 }
 
@@ -248,7 +290,7 @@
 	now := time.Now()
 	why := r.reasonToRead(now, isReader, lagging)
 	if why != r.why && why != notReading && why != reasonReader {
-		r.log.Emit(event.StoreReadBegun, "why", string(why), "beaconAgeMs", millisSince(now, r.lastBeacon), "agreedAgeMs", millisSince(now, r.lastAgreement))
+		r.log.Emit(event.StoreReadBegun, "why", string(why), "contactAgeMs", millisSince(now, r.storeContact), "agreedAgeMs", millisSince(now, r.lastAgreement))
 	}
 	r.why = why
 	return why != notReading
@@ -263,7 +305,7 @@
 		return reasonReader
 	case lagging:
 		return reasonConfigLagging
-	case now.Sub(r.lastBeacon) > beaconTimeout:
+	case r.isStoreUnheard(now) || !r.nextProbe.IsZero():
 		if r.reading || r.probeDue(now) {
 			return reasonNoReader
 		}
@@ -281,18 +323,20 @@
 	return now.Sub(t).Milliseconds()
 }
 
-// probeDue reports whether this daemon's next call to a store that no reader reaches is due; r.mu is held.
+// probeDue reports whether this daemon's next call to a store that no reader has heard is due; r.mu is held.
 func (r *Replica) probeDue(now time.Time) bool {
-	if r.nextProbe.IsZero() && !r.lastBeacon.IsZero() {
-		r.nextProbe = now.Add(r.probeDelay())
+	if r.nextProbe.IsZero() && !r.storeContact.IsZero() {
+		r.nextProbe = r.storeContact.Add(r.maxStoreSilence() + rand.N(firstReadSpread))
 	}
 	return !now.Before(r.nextProbe)
 }
 
 // probeDelay returns a random delay by which the daemons together call the store once per fleetProbeInterval on average,
-// or more often in a fleet so large that maxMeanProbeInterval bounds the delay.
+// or more often in a fleet so large that one daemon's delay would exceed its bound.
 func (r *Replica) probeDelay() time.Duration {
-	return rand.N(2 * min(time.Duration(max(1, r.opts.LiveDaemons()))*fleetProbeInterval, maxMeanProbeInterval))
+	mean := time.Duration(max(1, r.opts.LiveDaemons())) * fleetProbeInterval
+	longest := min(4*mean/3, r.opts.ApplyWithin/maxProbeDelayDivisor)
+	return longest/2 + rand.N(longest/2)
 }
 
 // Failed postpones this daemon's next probe after a failed call to the store, so that other daemons probe meanwhile.
@@ -326,12 +370,14 @@
 		}
 		isReader := r.opts.IsReader()
 		r.mu.Lock()
-		digest, lastBeacon := r.digest, r.lastBeacon
-		isSubstitute := r.reading && !isReader && time.Since(lastBeacon) > beaconTimeout
-		publishes := r.reading && isReader || isSubstitute
+		now, heard := time.Now(), r.opts.StoreHeard()
+		digest, contact := r.digest, r.storeContact
+		follows := r.reading && now.Sub(heard) <= r.maxStoreSilence()
+		isSubstitute := follows && !isReader && r.isStoreUnheard(now)
+		publishes := follows && isReader || isSubstitute
 		r.mu.Unlock()
 		if isSubstitute && !wasSubstitute {
-			r.log.Emit(event.ReaderReplaced, "lastReaderHeard", lastBeacon)
+			r.log.Emit(event.ReaderReplaced, "contactAgeMs", millisSince(now, contact))
 		}
 		wasSubstitute = isSubstitute
 		if publishes != published {
@@ -345,7 +391,7 @@
 		if isSubstitute {
 			key = beaconPrefix + substitutePrefix + r.self
 		}
-		if err := r.gossip.PublishOwn(key, &peerpb.TableDigest{Root: digest}); err != nil {
+		if err := r.gossip.PublishOwn(key, &peerpb.ReaderBeacon{Root: digest, StoreSilenceMs: now.Sub(heard).Milliseconds()}); err != nil {
 			r.log.Emit(event.PeerMessageWrong, "error", err.Error())
 		}
 	}
@@ -369,7 +415,7 @@
 		Reading bool      `json:"reading"`
 		Why     string    `json:"why"`
 		Store   time.Time `json:"storeHeard"`
-		Heard   time.Time `json:"heard"`
+		Contact time.Time `json:"contact"`
 		Agreed  time.Time `json:"agreed"`
-	}{len(r.hashes), r.reading, string(r.why), r.opts.StoreHeard(), r.lastBeacon, r.lastAgreement}
+	}{len(r.hashes), r.reading, string(r.why), r.opts.StoreHeard(), r.storeContact, r.lastAgreement}
 }
