ingress: leave time to answer requests whose deadline ends with the grace period

What callers saw, in a report of other operators: requests that came late in the grace of a planned stop were passed on and cut with no answer, among them requests that may not be repeated.

Cause here: a leaving daemon accepted a request if its deadline was before the moment at which the process closes its connections. The answer to a request that reaches its deadline, a 504, is written after the deadline, so that it was cut (unexpected EOF).

Evidence: TestLeavingDaemonAnswersEachRequestThatItPassesOn, 'deadline at the end', fails on the code before; 'deadline well before the end' passes on both.

Why it works: 200 ms stay between the latest deadline that is accepted and the end; later ones are refused as not run.

--- a/internal/edge/ingress/run.go
+++ b/internal/edge/ingress/run.go
@@ -14,6 +14,8 @@
 	leavePropagationTime = 500 * time.Millisecond
 	// exitMargin is how long before the end of the grace period the process exits by itself.
 	exitMargin = 400 * time.Millisecond
+	// responseMargin is the time between a request's deadline and the end of its response, which may be that of a timeout.
+	responseMargin = 200 * time.Millisecond
 	// drainPollInterval is how often a leaving daemon checks whether its last request has ended.
 	drainPollInterval = 50 * time.Millisecond
 )
--- a/internal/edge/ingress/server.go
+++ b/internal/edge/ingress/server.go
@@ -223,7 +223,7 @@
 	if since == nil {
 		return nil
 	}
-	acceptFor := s.cfg.Grace - exitMargin - time.Until(req.Deadline)
+	acceptFor := s.cfg.Grace - exitMargin - responseMargin - time.Until(req.Deadline)
 	if req.Route.Kind == routing.Streaming {
 		acceptFor = streamAcceptTime
 	}
--- a/internal/edge/ingress/server_test.go
+++ b/internal/edge/ingress/server_test.go
@@ -315,6 +315,50 @@
 	})
 }
 
+// Guards against a request that a leaving daemon passes on and cuts at the end of the grace period, since its deadline
+// is just before that end.
+func TestLeavingDaemonAnswersEachRequestThatItPassesOn(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		path       string
+		headAt     time.Duration // after the stop signal
+		bodyAt     time.Duration
+		wantStatus int
+	}{
+		{"deadline well before the end", "/a/", 2 * time.Second, 2 * time.Second, 200},
+		{"deadline at the end", "/a/", 2590 * time.Millisecond, 2590 * time.Millisecond, 503},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var begun atomic.Int64
+			runServer(t, func(ctx context.Context, req *forward.Request, w http.ResponseWriter) error {
+				begun.Add(1)
+				if req.Route.Kind == routing.Unsafe {
+					time.Sleep(time.Until(req.Deadline) + 20*time.Millisecond) // the response to a timeout
+				}
+				return echo(ctx, req, w)
+			}, func(h *harness) {
+				h.tables.Offer(table(1), "test")
+				c := h.dial()
+				synctest.Wait()
+				stopAt := time.Now().Add(time.Second)
+				time.AfterFunc(time.Second, h.stop)
+				time.Sleep(time.Until(stopAt.Add(tc.headAt)))
+				go func() {
+					_, _ = io.WriteString(c.conn, "POST "+tc.path+" HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nKey: k\r\nContent-Length: 2\r\n\r\n")
+					time.Sleep(time.Until(stopAt.Add(tc.bodyAt)))
+					_, _ = io.WriteString(c.conn, "xy")
+				}()
+				resp, err := http.ReadResponse(c.reader, nil)
+				require.NoError(t, err)
+				_, err = io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.Equal(t, tc.wantStatus, resp.StatusCode)
+				require.Equal(t, tc.wantStatus == 200, begun.Load() == 1)
+			})
+		})
+	}
+}
+
 // Guards against closing a connection once the handler of the last request has returned, while net/http still writes the
 // rest of its response.
 func TestLeavingDaemonWritesTheLastResponseToItsEnd(t *testing.T) {
