ingress: check again after the body that a leaving daemon can finish a request

What callers would see: a request whose head came before the stop signal and whose body came late in the grace period was passed on, and cut at its end.

Cause: whether the request can be finished was checked between the head and the body only; a body may take 15 s.

Evidence: two cases of TestLeavingDaemonAnswersEachRequestThatItPassesOn fail on the code before (200 instead of 503: the request was passed on 3.5 and 7 s after the signal); 'body within the time for streams' passes on both.

Why it works: the same check runs once the body is there; until then nothing was sent to a server, so that the refusal as not run is true.

--- a/internal/edge/ingress/server.go
+++ b/internal/edge/ingress/server.go
@@ -158,8 +158,10 @@
 	if err := s.checkFinishable(req); err != nil {
 		return req, err
 	}
-	req.Body, err = readBody(w, r, t.Limits)
-	return req, err
+	if req.Body, err = readBody(w, r, t.Limits); err != nil {
+		return req, err
+	}
+	return req, s.checkFinishable(req) // the body may have taken long to arrive
 }
 
 const (
--- a/internal/edge/ingress/server_test.go
+++ b/internal/edge/ingress/server_test.go
@@ -316,7 +316,7 @@
 }
 
 // Guards against a request that a leaving daemon passes on and cuts at the end of the grace period, since its deadline
-// is just before that end.
+// is just before that end, or since its head came before the stop signal and its body long after.
 func TestLeavingDaemonAnswersEachRequestThatItPassesOn(t *testing.T) {
 	for _, tc := range []struct {
 		name       string
@@ -327,6 +327,9 @@
 	}{
 		{"deadline well before the end", "/a/", 2 * time.Second, 2 * time.Second, 200},
 		{"deadline at the end", "/a/", 2590 * time.Millisecond, 2590 * time.Millisecond, 503},
+		{"body of a stream after streams are accepted", "/p/", -time.Second, 3500 * time.Millisecond, 503},
+		{"body within the time for streams", "/p/", -time.Second, time.Second, 200},
+		{"body late in the grace period", "/p/", -time.Second, 7 * time.Second, 503},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var begun atomic.Int64
