replica, mirror: one name for the last contact with the store

Read as a newcomer: 'heard', 'contact' and 'silence' named one thing. Only names, comments and fields of the dump change; go test of the packages passes.

--- a/internal/app/entry/daemon.go
+++ b/internal/app/entry/daemon.go
@@ -103,7 +103,7 @@
 	isSeed := len(d.cfg.Seeds) == 0 || slices.Contains(d.cfg.Seeds, d.cfg.PeerAddress)
 	storeReplica := replica.New(d.processID, gossip, replica.Options{
 		IsReader: func() bool { return isReader(members) }, ConfigLagging: share.isLagging,
-		LiveDaemons: func() int { return len(members.Live()) }, Seed: isSeed, StoreHeard: health.Heard, ApplyWithin: d.cfg.Bounds.ConfigApply,
+		LiveDaemons: func() int { return len(members.Live()) }, Seed: isSeed, LastContact: health.LastContact, ApplyWithin: d.cfg.Bounds.ConfigApply,
 	}, d.log)
 	tables.OnChange(func(t *routing.Table) { storeReplica.AddToDigest("configuration", t.Revision) })
 	d.kernel.Add("replica", storeReplica)
--- a/internal/app/entry/readingfleet_test.go
+++ b/internal/app/entry/readingfleet_test.go
@@ -64,7 +64,7 @@
 	health := mirror.NewHealth()
 	r := replica.New(fmt.Sprintf("d%02d", i), d, replica.Options{
 		IsReader: func() bool { return i < fleetReaders }, ConfigLagging: func() bool { return false },
-		LiveDaemons: func() int { return len(d.fleet.daemons) }, StoreHeard: health.Heard, ApplyWithin: bounds.ConfigApply,
+		LiveDaemons: func() int { return len(d.fleet.daemons) }, LastContact: health.LastContact, ApplyWithin: bounds.ConfigApply,
 		Seed: i == 0,
 	}, event.Discard())
 	d.replica = r
--- a/internal/config/mirror/health.go
+++ b/internal/config/mirror/health.go
@@ -14,8 +14,8 @@
 	recovered   chan struct{}
 	// lost is closed when the store becomes unavailable.
 	lost chan struct{}
-	// heard is the time up to which the mirror that probes the store has applied its changes.
-	heard time.Time
+	// contact is the time up to which the mirror that probes the store has applied its changes.
+	contact time.Time
 }
 
 // NewHealth returns the health of a store that is assumed to be available.
@@ -53,19 +53,19 @@
 	return ctx, func() { cancel(context.Canceled) }
 }
 
-// RecordHeard records that the mirror that probes the store has applied the changes up to a time.
-func (h *Health) RecordHeard(at time.Time) {
+// RecordContact records that the mirror that probes the store has applied the changes up to a time.
+func (h *Health) RecordContact(at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.heard = at
+	h.contact = at
 }
 
-// Heard returns the time up to which the mirror that probes the store has applied its changes; zero if the store never
+// LastContact returns the time up to which the mirror that probes the store has applied its changes; zero if the store never
 // answered it.
-func (h *Health) Heard() time.Time {
+func (h *Health) LastContact() time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.heard
+	return h.contact
 }
 
 // Wait returns after d, or earlier if the store recovers or ctx ends.
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -209,7 +209,7 @@
 	m.revision = revision
 	m.lastResponse = time.Now()
 	if m.opts.Probes {
-		m.health.RecordHeard(at)
+		m.health.RecordContact(at)
 	}
 }
 
--- a/internal/config/replica/outage_test.go
+++ b/internal/config/replica/outage_test.go
@@ -19,7 +19,7 @@
 	out := make([]*Replica, n)
 	for i := range out {
 		out[i] = New(fmt.Sprintf("d%02d", i), m.node(), Options{
-			IsReader: notReader, ConfigLagging: notLagging, StoreHeard: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return n }, Seed: true,
+			IsReader: notReader, ConfigLagging: notLagging, LastContact: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return n }, Seed: true,
 		}, event.Discard())
 		out[i].Follow("kind", newTarget())
 	}
@@ -30,8 +30,8 @@
 func TestAStartingDaemonWaitsForItsPeersBeforeReadingTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &mesh{}
-		seed := New("seed", m.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, StoreHeard: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
-		late := New("late", m.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, StoreHeard: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 1 }}, event.Discard())
+		seed := New("seed", m.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, LastContact: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
+		late := New("late", m.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, LastContact: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 1 }}, event.Discard())
 		sink := seed.Follow("kind", newTarget())
 		late.Follow("kind", newTarget())
 		go func() { _ = seed.Run(t.Context()) }()
--- a/internal/config/replica/replica.go
+++ b/internal/config/replica/replica.go
@@ -83,8 +83,8 @@
 	hashes map[string]uint64
 	// versions holds the newest version of each record that was delivered.
 	versions map[string]int64
-	// storeContact is the time up to which some other daemon has applied the store's changes, by the beacons received.
-	storeContact time.Time
+	// readersContact is the newest LastContact of the daemons that read the store for others, by their beacons.
+	readersContact time.Time
 	// beaconDigest is the digest in the last beacon that counted; lastAgreement is when this daemon's digest last
 	// equalled it.
 	lastAgreement time.Time
@@ -112,8 +112,9 @@
 	ConfigLagging func() bool
 	// LiveDaemons returns the number of live daemons.
 	LiveDaemons func() int
-	// StoreHeard returns the time up to which this daemon has applied the store's changes; zero if it never answered.
-	StoreHeard func() time.Time
+	// LastContact returns the time up to which this daemon has itself read the store's changes and applied them; zero if
+	// the store never answered it.
+	LastContact func() time.Time
 	// ApplyWithin is the time within which a change has to be in force on each daemon that the store answers, whether or
 	// not it answers any reader.
 	ApplyWithin time.Duration
@@ -225,34 +226,34 @@
 	}
 	now := time.Now()
 	contact := now.Add(-time.Duration(b.GetStoreSilenceMs()) * time.Millisecond)
-	if contact.Before(r.storeContact.Add(-beaconOrderTolerance)) {
+	if contact.Before(r.readersContact.Add(-beaconOrderTolerance)) {
 		return
 	}
-	if contact.After(r.storeContact) {
-		r.storeContact = contact
+	if contact.After(r.readersContact) {
+		r.readersContact = contact
 	}
 	r.beaconDigest = b.GetRoot()
 	r.checkAgreement(now)
 }
 
-// maxStoreSilence is how old the last contact of any reader with the store may be. A change that the store accepted
+// maxContactAge is how old the readers' newest contact with the store may be. A change that the store accepted
 // right after that contact may be known to no reader, so the rest of ApplyWithin is left to read it without them.
-func (r *Replica) maxStoreSilence() time.Duration {
+func (r *Replica) maxContactAge() time.Duration {
 	return max(r.opts.ApplyWithin-ownReadTime, r.opts.ApplyWithin/2)
 }
 
-// isStoreUnheard reports whether no other daemon is known to have followed the store recently; r.mu is held.
-func (r *Replica) isStoreUnheard(now time.Time) bool {
-	return now.Sub(r.storeContact) > r.maxStoreSilence()
+// isContactOld reports whether no reader is known to have heard the store recently; r.mu is held.
+func (r *Replica) isContactOld(now time.Time) bool {
+	return now.Sub(r.readersContact) > r.maxContactAge()
 }
 
 // checkAgreement compares this daemon's digest with the last beacon; r.mu is held.
 func (r *Replica) checkAgreement(now time.Time) {
-	if r.storeContact.IsZero() || r.beaconDigest != r.digest {
+	if r.readersContact.IsZero() || r.beaconDigest != r.digest {
 		return
 	}
 	r.lastAgreement = now
-	if !r.isStoreUnheard(now) {
+	if !r.isContactOld(now) {
 		r.nextProbe = time.Time{}
 	}
 	r.markLoaded()
@@ -290,7 +291,7 @@
 	now := time.Now()
 	why := r.reasonToRead(now, isReader, lagging)
 	if why != r.why && why != notReading && why != reasonReader {
-		r.log.Emit(event.StoreReadBegun, "why", string(why), "contactAgeMs", millisSince(now, r.storeContact), "agreedAgeMs", millisSince(now, r.lastAgreement))
+		r.log.Emit(event.StoreReadBegun, "why", string(why), "contactAgeMs", millisSince(now, r.readersContact), "agreedAgeMs", millisSince(now, r.lastAgreement))
 	}
 	r.why = why
 	return why != notReading
@@ -305,7 +306,7 @@
 		return reasonReader
 	case lagging:
 		return reasonConfigLagging
-	case r.isStoreUnheard(now) || !r.nextProbe.IsZero():
+	case r.isContactOld(now) || !r.nextProbe.IsZero():
 		if r.reading || r.probeDue(now) {
 			return reasonNoReader
 		}
@@ -325,8 +326,8 @@
 
 // probeDue reports whether this daemon's next call to a store that no reader has heard is due; r.mu is held.
 func (r *Replica) probeDue(now time.Time) bool {
-	if r.nextProbe.IsZero() && !r.storeContact.IsZero() {
-		r.nextProbe = r.storeContact.Add(r.maxStoreSilence() + rand.N(firstReadSpread))
+	if r.nextProbe.IsZero() && !r.readersContact.IsZero() {
+		r.nextProbe = r.readersContact.Add(r.maxContactAge() + rand.N(firstReadSpread))
 	}
 	return !now.Before(r.nextProbe)
 }
@@ -370,14 +371,14 @@
 		}
 		isReader := r.opts.IsReader()
 		r.mu.Lock()
-		now, heard := time.Now(), r.opts.StoreHeard()
-		digest, contact := r.digest, r.storeContact
-		follows := r.reading && now.Sub(heard) <= r.maxStoreSilence()
-		isSubstitute := follows && !isReader && r.isStoreUnheard(now)
+		now, own := time.Now(), r.opts.LastContact()
+		digest, others := r.digest, r.readersContact
+		follows := r.reading && now.Sub(own) <= r.maxContactAge()
+		isSubstitute := follows && !isReader && r.isContactOld(now)
 		publishes := follows && isReader || isSubstitute
 		r.mu.Unlock()
 		if isSubstitute && !wasSubstitute {
-			r.log.Emit(event.ReaderReplaced, "contactAgeMs", millisSince(now, contact))
+			r.log.Emit(event.ReaderReplaced, "contactAgeMs", millisSince(now, others))
 		}
 		wasSubstitute = isSubstitute
 		if publishes != published {
@@ -391,7 +392,7 @@
 		if isSubstitute {
 			key = beaconPrefix + substitutePrefix + r.self
 		}
-		if err := r.gossip.PublishOwn(key, &peerpb.ReaderBeacon{Root: digest, StoreSilenceMs: now.Sub(heard).Milliseconds()}); err != nil {
+		if err := r.gossip.PublishOwn(key, &peerpb.ReaderBeacon{Root: digest, StoreSilenceMs: now.Sub(own).Milliseconds()}); err != nil {
 			r.log.Emit(event.PeerMessageWrong, "error", err.Error())
 		}
 	}
@@ -403,7 +404,7 @@
 	if publishes {
 		e = event.BeaconsBegun
 	}
-	r.log.Emit(e, "storeSilentMs", millisSince(time.Now(), r.opts.StoreHeard()))
+	r.log.Emit(e, "storeSilentMs", millisSince(time.Now(), r.opts.LastContact()))
 }
 
 // Dump shows whether this daemon reads the store and when its digest last agreed with a reader's.
@@ -414,8 +415,8 @@
 		Objects int       `json:"objects"`
 		Reading bool      `json:"reading"`
 		Why     string    `json:"why"`
-		Store   time.Time `json:"storeHeard"`
-		Contact time.Time `json:"contact"`
+		Own     time.Time `json:"ownContact"`
+		Readers time.Time `json:"readersContact"`
 		Agreed  time.Time `json:"agreed"`
-	}{len(r.hashes), r.reading, string(r.why), r.opts.StoreHeard(), r.storeContact, r.lastAgreement}
+	}{len(r.hashes), r.reading, string(r.why), r.opts.LastContact(), r.readersContact, r.lastAgreement}
 }
--- a/internal/config/replica/replica_test.go
+++ b/internal/config/replica/replica_test.go
@@ -101,8 +101,8 @@
 
 func newPair() *pair {
 	p := &pair{mesh: &mesh{}, target: newTarget(), readerTarget: newTarget()}
-	p.reader = New("reader", p.mesh.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, StoreHeard: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
-	p.other = New("other", p.mesh.node(), Options{IsReader: func() bool { return false }, ConfigLagging: notLagging, StoreHeard: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
+	p.reader = New("reader", p.mesh.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, LastContact: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
+	p.other = New("other", p.mesh.node(), Options{IsReader: func() bool { return false }, ConfigLagging: notLagging, LastContact: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
 	p.sink = p.reader.Follow("kind", p.readerTarget)
 	p.other.Follow("kind", p.target)
 	return p
@@ -145,7 +145,7 @@
 		time.Sleep(3 * time.Second)
 		require.False(t, p.other.Active())
 		p.mesh.setPartitioned(true)
-		time.Sleep(p.other.maxStoreSilence() + firstReadSpread)
+		time.Sleep(p.other.maxContactAge() + firstReadSpread)
 		require.True(t, p.other.Active())
 		p.mesh.setPartitioned(false)
 		time.Sleep(time.Second)
@@ -175,7 +175,7 @@
 		p.sink.Replace(nil, 1, false)
 		time.Sleep(time.Second)
 		p.sink.Reading(false)
-		time.Sleep(p.other.maxStoreSilence() + firstReadSpread)
+		time.Sleep(p.other.maxContactAge() + firstReadSpread)
 		require.True(t, p.other.Active())
 	})
 }
@@ -213,7 +213,7 @@
 // Gossip delivers records in any order. If the result depended on the order, daemons would keep different objects.
 func TestRecordsGiveTheSameStateInAnyOrder(t *testing.T) {
 	m := &mesh{partitioned: true}
-	reader := New("reader", m.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, StoreHeard: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
+	reader := New("reader", m.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, LastContact: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
 	sink := reader.Follow("kind", newTarget())
 	var records []relay.Record
 	for i := range 30 {
@@ -223,13 +223,13 @@
 		records = append(records, r)
 	}
 	want := newTarget()
-	inOrder := New("last", m.node(), Options{IsReader: func() bool { return false }, ConfigLagging: notLagging, StoreHeard: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
+	inOrder := New("last", m.node(), Options{IsReader: func() bool { return false }, ConfigLagging: notLagging, LastContact: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
 	inOrder.Follow("kind", want)
 	for _, r := range records {
 		inOrder.gossip.Fleet().Apply(r)
 	}
 	got := newTarget()
-	reversed := New("back", m.node(), Options{IsReader: func() bool { return false }, ConfigLagging: notLagging, StoreHeard: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
+	reversed := New("back", m.node(), Options{IsReader: func() bool { return false }, ConfigLagging: notLagging, LastContact: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
 	reversed.Follow("kind", got)
 	for i := range records {
 		reversed.gossip.Fleet().Apply(records[len(records)-1-i])
@@ -243,7 +243,7 @@
 // it must not replace.
 func TestAnOlderRecordDeliveredLateIsIgnored(t *testing.T) {
 	m := &mesh{partitioned: true}
-	r := New("r", m.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, StoreHeard: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
+	r := New("r", m.node(), Options{IsReader: func() bool { return true }, ConfigLagging: notLagging, LastContact: time.Now, ApplyWithin: testApplyWithin, LiveDaemons: func() int { return 2 }, Seed: true}, event.Discard())
 	got := newTarget()
 	s := &localSink{r, "kind"}
 	r.Follow("kind", got)
