replica: split beacons and the gate from the replica; shorten Run

No decision changes: tests of the replica pass, and those of the fleets in virtual time and of real daemons without a reader.

--- a/internal/config/replica/replica.go
+++ b/internal/config/replica/replica.go
@@ -1,9 +1,7 @@
 package replica
 
 import (
-	"context"
 	"encoding/binary"
-	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -211,42 +209,6 @@
 	return h.Sum64()
 }
 
-// handleBeacon records up to when the sender has followed the store, and its digest.
-func (r *Replica) handleBeacon(rec relay.Record) {
-	from, fromSubstitute := strings.CutPrefix(strings.TrimPrefix(rec.Key, beaconPrefix), substitutePrefix)
-	var b peerpb.ReaderBeacon
-	if from == r.self || proto.Unmarshal(rec.Body, &b) != nil {
-		return
-	}
-	isReader := r.opts.IsReader()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if fromSubstitute && r.reading && !isReader && r.self < from {
-		return // of several substitutes, the one with the lowest ID continues
-	}
-	now := time.Now()
-	contact := now.Add(-time.Duration(b.GetStoreSilenceMs()) * time.Millisecond)
-	if contact.Before(r.readersContact.Add(-beaconOrderTolerance)) {
-		return
-	}
-	if contact.After(r.readersContact) {
-		r.readersContact = contact
-	}
-	r.beaconDigest = b.GetRoot()
-	r.checkAgreement(now)
-}
-
-// maxContactAge is how old the readers' newest contact with the store may be. A change that the store accepted
-// right after that contact may be known to no reader, so the rest of ApplyWithin is left to read it without them.
-func (r *Replica) maxContactAge() time.Duration {
-	return max(r.opts.ApplyWithin-ownReadTime, r.opts.ApplyWithin/2)
-}
-
-// isContactOld reports whether no reader is known to have heard the store recently; r.mu is held.
-func (r *Replica) isContactOld(now time.Time) bool {
-	return now.Sub(r.readersContact) > r.maxContactAge()
-}
-
 // checkAgreement compares this daemon's digest with the last beacon; r.mu is held.
 func (r *Replica) checkAgreement(now time.Time) {
 	if r.readersContact.IsZero() || r.beaconDigest != r.digest {
@@ -271,142 +233,6 @@
 // Loaded is closed once this daemon has read all kinds from the store or has agreed with a reader's digest.
 func (r *Replica) Loaded() <-chan struct{} { return r.loaded }
 
-// readReason says why a daemon reads the store.
-type readReason string
-
-// The reasons to read the store; notReading is none.
-const (
-	notReading           readReason = ""
-	reasonReader         readReason = "reader"
-	reasonConfigLagging  readReason = "configLagging"
-	reasonNoReader       readReason = "noReader"
-	reasonDigestMismatch readReason = "digestMismatch"
-)
-
-// Active reports whether this daemon has to read the store.
-func (r *Replica) Active() bool {
-	isReader, lagging := r.opts.IsReader(), r.opts.ConfigLagging()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	why := r.reasonToRead(now, isReader, lagging)
-	if why != r.why && why != notReading && why != reasonReader {
-		r.log.Emit(event.StoreReadBegun, "why", string(why), "contactAgeMs", millisSince(now, r.readersContact), "agreedAgeMs", millisSince(now, r.lastAgreement))
-	}
-	r.why = why
-	return why != notReading
-}
-
-// reasonToRead returns why this daemon has to read the store, if it has to; r.mu is held.
-func (r *Replica) reasonToRead(now time.Time, isReader, lagging bool) readReason {
-	switch {
-	case now.Before(r.waitForPeersUntil):
-		return notReading
-	case isReader:
-		return reasonReader
-	case lagging:
-		return reasonConfigLagging
-	case r.isContactOld(now) || !r.nextProbe.IsZero():
-		if r.reading || r.probeDue(now) {
-			return reasonNoReader
-		}
-	case r.beaconDigest != r.digest && now.Sub(r.lastAgreement) > digestMismatchTimeout:
-		return reasonDigestMismatch
-	}
-	return notReading
-}
-
-// millisSince returns the milliseconds from t to now, or -1 if t is zero.
-func millisSince(now, t time.Time) int64 {
-	if t.IsZero() {
-		return -1
-	}
-	return now.Sub(t).Milliseconds()
-}
-
-// probeDue reports whether this daemon's next call to a store that no reader has heard is due; r.mu is held.
-func (r *Replica) probeDue(now time.Time) bool {
-	if r.nextProbe.IsZero() && !r.readersContact.IsZero() {
-		r.nextProbe = r.readersContact.Add(r.maxContactAge() + rand.N(firstReadSpread))
-	}
-	return !now.Before(r.nextProbe)
-}
-
-// probeDelay returns a random delay by which the daemons together call the store once per fleetProbeInterval on average,
-// or more often in a fleet so large that one daemon's delay would exceed its bound.
-func (r *Replica) probeDelay() time.Duration {
-	mean := time.Duration(max(1, r.opts.LiveDaemons())) * fleetProbeInterval
-	longest := min(4*mean/3, r.opts.ApplyWithin/maxProbeDelayDivisor)
-	return longest/2 + rand.N(longest/2)
-}
-
-// Failed postpones this daemon's next probe after a failed call to the store, so that other daemons probe meanwhile.
-func (r *Replica) Failed() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.nextProbe = time.Now().Add(r.probeDelay())
-}
-
-// Wait returns when the daemon may have to read the store, or when ctx ends.
-func (r *Replica) Wait(ctx context.Context) {
-	for !r.Active() && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(gatePollInterval):
-		}
-	}
-}
-
-// Run publishes beacons while this daemon reads the store, the first one as soon as it has listed all kinds.
-func (r *Replica) Run(ctx context.Context) error {
-	ticker := time.NewTicker(beaconInterval)
-	defer ticker.Stop()
-	wasSubstitute, published := false, false
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		case <-r.allListed:
-		}
-		isReader := r.opts.IsReader()
-		r.mu.Lock()
-		now, own := time.Now(), r.opts.LastContact()
-		digest, others := r.digest, r.readersContact
-		follows := r.reading && now.Sub(own) <= r.maxContactAge()
-		isSubstitute := follows && !isReader && r.isContactOld(now)
-		publishes := follows && isReader || isSubstitute
-		r.mu.Unlock()
-		if isSubstitute && !wasSubstitute {
-			r.log.Emit(event.ReaderReplaced, "contactAgeMs", millisSince(now, others))
-		}
-		wasSubstitute = isSubstitute
-		if publishes != published {
-			r.logBeacons(publishes)
-		}
-		published = publishes
-		if !publishes {
-			continue
-		}
-		key := beaconPrefix + r.self
-		if isSubstitute {
-			key = beaconPrefix + substitutePrefix + r.self
-		}
-		if err := r.gossip.PublishOwn(key, &peerpb.ReaderBeacon{Root: digest, StoreSilenceMs: now.Sub(own).Milliseconds()}); err != nil {
-			r.log.Emit(event.PeerMessageWrong, "error", err.Error())
-		}
-	}
-}
-
-// logBeacons logs that this daemon begins or ends to publish beacons.
-func (r *Replica) logBeacons(publishes bool) {
-	e := event.BeaconsEnded
-	if publishes {
-		e = event.BeaconsBegun
-	}
-	r.log.Emit(e, "storeSilentMs", millisSince(time.Now(), r.opts.LastContact()))
-}
-
 // Dump shows whether this daemon reads the store and when its digest last agreed with a reader's.
 func (r *Replica) Dump() any {
 	r.mu.Lock()
