entry, replica: make the tests of reads without readers able to fail

Two mutations survived: probes without a bound, since no test had the store silent for all before it answered a few, and a read called off before this daemon agrees with a reader, since a daemon of the fleet model had nearly always begun by then. The fleet now goes through such outages, and TestADaemonReadsTheStoreUntilItAgreesWithAReader drives the second one. Both mutations are caught now; no product code changes.

--- a/internal/app/entry/readerloss_test.go
+++ b/internal/app/entry/readerloss_test.go
@@ -65,14 +65,21 @@
 				synctest.Test(t, func(t *testing.T) {
 					f := startReadingFleet(t.Context(), tc.daemons, settings.Bounds{ConfigApply: tc.bound})
 					time.Sleep(5*time.Second + rand.N(3*time.Second))
-					for _, wait := range []time.Duration{tc.bound, tc.contact, tc.contact} {
+					checkAfter := func(wait time.Duration) {
 						able := f.answerOnly(tc.able)
 						f.write()
 						time.Sleep(wait)
 						for d := range able {
 							require.Equal(t, f.currentRevision(), d.inForce())
 						}
+					}
+					checkAfter(tc.bound)
+					for range 2 {
 						time.Sleep(tc.bound)
+						checkAfter(tc.contact)
+						f.answerOnly(0)
+						time.Sleep(2 * tc.contact)
+						checkAfter(tc.contact)
 					}
 				})
 			})
--- a/internal/config/replica/outage_test.go
+++ b/internal/config/replica/outage_test.go
@@ -7,9 +7,12 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/pollencourse/pollencourse/internal/config/mirror"
 	"github.com/pollencourse/pollencourse/internal/core/event"
+	"github.com/pollencourse/pollencourse/internal/fleet/peerpb"
+	"github.com/pollencourse/pollencourse/internal/fleet/relay"
 )
 
 func notReader() bool { return false }
@@ -101,3 +104,26 @@
 		require.Equal(t, []string{"d00"}, active)
 	})
 }
+
+// Guards against a daemon that calls its read off because another one has found the store, whose news takes too long.
+func TestADaemonReadsTheStoreUntilItAgreesWithAReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFleet(&mesh{}, 78)[0]
+		hear := func(silence time.Duration, root uint64) {
+			body, err := proto.Marshal(&peerpb.ReaderBeacon{Root: root, StoreSilenceMs: silence.Milliseconds()})
+			require.NoError(t, err)
+			r.handleBeacon(relay.Record{Key: beaconPrefix + "reader", Body: body})
+		}
+		hear(0, r.digest)
+		require.False(t, r.Active())
+		time.Sleep(r.maxContactAge())
+		hear(r.maxContactAge(), r.digest)
+		time.Sleep(time.Millisecond)
+		r.Active() // schedules the read
+		hear(0, r.digest+1)
+		time.Sleep(firstReadSpread)
+		require.True(t, r.Active(), "the reader has something that this daemon lacks")
+		hear(0, r.digest)
+		require.False(t, r.Active())
+	})
+}
