--- a/review/cmd/quarantine/main.go
+++ b/review/cmd/quarantine/main.go
@@ -1,10 +1,12 @@
-// Command quarantine plays a prompt part that crashes servers, and kills all daemons once they keep it from the servers.
+// Command quarantine plays a prompt part that crashes servers. By default it kills all daemons once they keep the part from
+// the servers; with LATE=1 the servers crash later after the beginning of an answer instead.
 package main
 
 import (
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -15,14 +17,19 @@
 const (
 	serverCount = 12
 	crashPart   = "bad0bad0"
-	// crashDelay is the time from the head of an answer to the crash; backAfter that to the server's return.
+	// crashDelay is the time from the head of an answer to the crash, lateDelay that with LATE=1; backAfter is the time
+	// to the server's return.
 	crashDelay = 20 * time.Millisecond
+	lateDelay  = 800 * time.Millisecond
 	backAfter  = 3 * time.Second
 	entryTTL   = 3600 * time.Millisecond
 	// badEvery is the time between two requests with the part.
 	badEvery   = 6 * time.Second
 	badCount   = 6
 	soundEvery = 100 * time.Millisecond
+	// streamEvents events, one each eventEvery, make a stream.
+	streamEvents = 60
+	eventEvery   = 50 * time.Millisecond
 	// killAfter is the time from the third request with the part until all daemons are killed; downTime that to their
 	// start.
 	killAfter = 500 * time.Millisecond
@@ -38,7 +45,9 @@
 }
 
 type site struct {
-	script *stand.Script
+	script     *stand.Script
+	crashDelay time.Duration
+	killsAll   bool
 
 	mu       sync.Mutex
 	number   int
@@ -50,7 +59,11 @@
 func main() { stand.Main(6, run) }
 
 func run(s *stand.Script) (bool, error) {
-	st := &site{script: s, sentTo: map[string]*stand.Daemon{}}
+	late := os.Getenv("LATE") == "1"
+	st := &site{script: s, crashDelay: crashDelay, killsAll: s.Trouble && !late, sentTo: map[string]*stand.Daemon{}}
+	if late && s.Trouble {
+		st.crashDelay = lateDelay
+	}
 	for range serverCount {
 		if err := st.startServer(); err != nil {
 			return false, err
@@ -73,7 +86,7 @@
 	for n := range badCount {
 		next := time.Now().Add(badEvery)
 		st.send(fmt.Sprintf("bad-%d", n), s.Daemons[n%len(s.Daemons)], "f1,"+crashPart)
-		if n == 2 && s.Trouble {
+		if n == 2 && st.killsAll {
 			time.Sleep(time.Until(next.Add(killAfter - badEvery)))
 			if err := st.restartAll(); err != nil {
 				return false, err
@@ -137,8 +150,14 @@
 	if stand.WriteHead(c, s, r, "text/event-stream", -1) != nil {
 		return
 	}
+	first := 1
+	if last := r.Header.Get("Last-Event-Id"); last != "" {
+		_, _ = fmt.Sscan(last, &first)
+		first++
+	}
 	if bad {
-		time.Sleep(crashDelay)
+		st.writeEvents(c, id, first, first-1+int(st.crashDelay/eventEvery))
+		time.Sleep(st.crashDelay % eventEvery)
 		if s.Crash() {
 			st.mu.Lock()
 			st.crashes = append(st.crashes, time.Now())
@@ -148,18 +167,20 @@
 		}
 		return
 	}
-	first := 1
-	if last := r.Header.Get("Last-Event-Id"); last != "" {
-		_, _ = fmt.Sscan(last, &first)
-		first++
+	if st.writeEvents(c, id, first, streamEvents) {
+		_ = stand.WriteChunk(c, "")
 	}
-	for i := first; i <= 20; i++ {
+}
+
+// writeEvents writes the events from first to last and reports whether the connection took them.
+func (st *site) writeEvents(c net.Conn, id string, first, last int) bool {
+	for i := first; i <= last; i++ {
 		if stand.WriteChunk(c, fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, id, i)) != nil {
-			return
+			return false
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(eventEvery)
 	}
-	_ = stand.WriteChunk(c, "")
+	return true
 }
 
 // sendSound sends requests that share the first part with those that crash servers.
