review: the programs of the scripts are test files

They are tests, so they now stand in test files of one package and are built as one test binary. No behaviour changes.

--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the cases start. It needs no network.
+# Builds the program that the scripts of the cases start, with all its stand-ins. It needs no network.
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p ../target/review
-go build -o ../target/review/ ./cmd/...
+go test -c -o ../target/review/cases ./cases
--- a/review/cmd/engine/main.go
+++ b/review/cases/engine_test.go
@@ -1,6 +1,4 @@
-// Command engine is a stand-in of a model server as a process of its own. Its streams have neither a length nor chunks
-// and end with their connection.
-package main
+package cases
 
 import (
 	"bufio"
@@ -13,9 +11,11 @@
 	"time"
 )
 
-const eventEvery = 50 * time.Millisecond
+const engineEventEvery = 50 * time.Millisecond
 
-func main() {
+// runEngine is a model server as a process of its own. Its streams have neither a length nor chunks and end with their
+// connection.
+func runEngine() {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: engine ID EVENTS")
 		os.Exit(2)
@@ -40,12 +40,12 @@
 		if err != nil {
 			return
 		}
-		go serve(c, os.Args[1], events)
+		go serveEngine(c, os.Args[1], events)
 	}
 }
 
-// serve answers one request and closes the connection.
-func serve(c net.Conn, id string, events int) {
+// serveEngine answers one request and closes the connection.
+func serveEngine(c net.Conn, id string, events int) {
 	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
@@ -66,7 +66,7 @@
 		first = last + 1
 	}
 	for i := first; i <= events && err == nil; i++ {
-		time.Sleep(eventEvery)
+		time.Sleep(engineEventEvery)
 		_, err = fmt.Fprintf(c, "id: %d\ndata: %s %d of %d\n\n", i, request, i, events)
 	}
 }
--- /dev/null
+++ b/review/cases/main_test.go
@@ -0,0 +1,28 @@
+package cases
+
+import (
+	"fmt"
+	"os"
+	"testing"
+)
+
+// caseVariable names the case to play.
+const caseVariable = "REVIEW_CASE"
+
+// TestMain plays a case instead of tests, of which there are none. The case engine is the model server that unframed
+// starts.
+func TestMain(*testing.M) {
+	switch c := os.Getenv(caseVariable); c {
+	case "sighup":
+		Main(3, runSighup)
+	case "unframed":
+		Main(3, runUnframed)
+	case "quarantine":
+		Main(6, runQuarantine)
+	case "engine":
+		runEngine()
+	default:
+		fmt.Fprintf(os.Stderr, "there is no case %q; see review/REPORT.md\n", c)
+		os.Exit(ExitNotRun)
+	}
+}
--- a/review/cmd/quarantine/main.go
+++ b/review/cases/quarantine_test.go
@@ -1,6 +1,4 @@
-// Command quarantine plays a prompt part that crashes servers. By default it kills all daemons once they keep the part from
-// the servers; with LATE=1 the servers crash later after the beginning of an answer instead.
-package main
+package cases
 
 import (
 	"fmt"
@@ -10,8 +8,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"pollencourse.example/review/stand"
 )
 
 const (
@@ -27,9 +23,9 @@
 	badEvery   = 6 * time.Second
 	badCount   = 6
 	soundEvery = 100 * time.Millisecond
-	// streamEvents events, one each eventEvery, make a stream.
-	streamEvents = 60
-	eventEvery   = 50 * time.Millisecond
+	// soundEvents events, one each soundEventEvery, make a stream.
+	soundEvents     = 60
+	soundEventEvery = 50 * time.Millisecond
 	// killAfter is the time from the third request with the part until all daemons are killed; downTime that to their
 	// start.
 	killAfter = 500 * time.Millisecond
@@ -44,8 +40,8 @@
 	request string
 }
 
-type site struct {
-	script     *stand.Script
+type quarantineSite struct {
+	script     *Script
 	crashDelay time.Duration
 	killsAll   bool
 
@@ -53,14 +49,14 @@
 	number   int
 	crashes  []time.Time
 	arrivals []arrival
-	sentTo   map[string]*stand.Daemon
+	sentTo   map[string]*Daemon
 }
 
-func main() { stand.Main(6, run) }
-
-func run(s *stand.Script) (bool, error) {
+// runQuarantine plays a prompt part that crashes servers. By default it kills all daemons once they keep the part from
+// the servers; with LATE=1 the servers crash later after the beginning of an answer instead.
+func runQuarantine(s *Script) (bool, error) {
 	late := os.Getenv("LATE") == "1"
-	st := &site{script: s, crashDelay: crashDelay, killsAll: s.Trouble && !late, sentTo: map[string]*stand.Daemon{}}
+	st := &quarantineSite{script: s, crashDelay: crashDelay, killsAll: s.Trouble && !late, sentTo: map[string]*Daemon{}}
 	if late && s.Trouble {
 		st.crashDelay = lateDelay
 	}
@@ -100,8 +96,8 @@
 }
 
 // restartAll kills all daemons at the same moment and starts them again.
-func (st *site) restartAll() error {
-	st.script.Each(func(d *stand.Daemon) { d.Kill() })
+func (st *quarantineSite) restartAll() error {
+	st.script.Each(func(d *Daemon) { d.Kill() })
 	st.script.Record.Say("all daemons were killed")
 	time.Sleep(downTime)
 	return st.script.StartDaemons()
@@ -109,17 +105,17 @@
 
 // late counts the requests with the part that reached servers, sent by daemons in touch later than contactMs after the
 // fifth crash.
-func (st *site) late() int {
+func (st *quarantineSite) late() int {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.script.Record.Say("%d crashes, %d requests with the part reached servers", len(st.crashes), len(st.arrivals))
 	if len(st.crashes) < crashesBefore {
 		return 0
 	}
-	bound := st.crashes[crashesBefore-1].Add(stand.ContactTime)
+	bound := st.crashes[crashesBefore-1].Add(ContactTime)
 	late := 0
 	for _, a := range st.arrivals {
-		if a.at.After(bound) && a.at.After(st.sentTo[a.request].StartedAt().Add(stand.ContactTime)) {
+		if a.at.After(bound) && a.at.After(st.sentTo[a.request].StartedAt().Add(ContactTime)) {
 			late++
 		}
 	}
@@ -127,17 +123,17 @@
 	return late
 }
 
-func (st *site) startServer() error {
+func (st *quarantineSite) startServer() error {
 	st.mu.Lock()
 	st.number++
 	n := st.number
 	st.mu.Unlock()
 	zones := []string{"pwani-a", "kaskazini-a", "pwani-b"}
-	return stand.NewServer(fmt.Sprintf("i-%04d", n), "quote-writer", zones[n%len(zones)], 48, st.script.Store, st.script.Record, st.handle).Start()
+	return NewServer(fmt.Sprintf("i-%04d", n), "quote-writer", zones[n%len(zones)], 48, st.script.Store, st.script.Record, st.handle).Start()
 }
 
 // handle streams 20 events in a second, or crashes as it begins to answer a request with the part.
-func (st *site) handle(s *stand.Server, c net.Conn, r *http.Request) {
+func (st *quarantineSite) handle(s *Server, c net.Conn, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	bad := strings.Contains(r.Header.Get("X-Prompt-Prefix"), crashPart)
 	if bad {
@@ -147,7 +143,7 @@
 		st.script.Record.Add("request %s with the part reaches server %s", id, s.ID)
 	}
 	time.Sleep(20 * time.Millisecond)
-	if stand.WriteHead(c, s, r, "text/event-stream", -1) != nil {
+	if WriteHead(c, s, r, "text/event-stream", -1) != nil {
 		return
 	}
 	first := 1
@@ -156,8 +152,8 @@
 		first++
 	}
 	if bad {
-		st.writeEvents(c, id, first, first-1+int(st.crashDelay/eventEvery))
-		time.Sleep(st.crashDelay % eventEvery)
+		st.writeEvents(c, id, first, first-1+int(st.crashDelay/soundEventEvery))
+		time.Sleep(st.crashDelay % soundEventEvery)
 		if s.Crash() {
 			st.mu.Lock()
 			st.crashes = append(st.crashes, time.Now())
@@ -167,24 +163,24 @@
 		}
 		return
 	}
-	if st.writeEvents(c, id, first, streamEvents) {
-		_ = stand.WriteChunk(c, "")
+	if st.writeEvents(c, id, first, soundEvents) {
+		_ = WriteChunk(c, "")
 	}
 }
 
 // writeEvents writes the events from first to last and reports whether the connection took them.
-func (st *site) writeEvents(c net.Conn, id string, first, last int) bool {
+func (st *quarantineSite) writeEvents(c net.Conn, id string, first, last int) bool {
 	for i := first; i <= last; i++ {
-		if stand.WriteChunk(c, fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, id, i)) != nil {
+		if WriteChunk(c, fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, id, i)) != nil {
 			return false
 		}
-		time.Sleep(eventEvery)
+		time.Sleep(soundEventEvery)
 	}
 	return true
 }
 
 // sendSound sends requests that share the first part with those that crash servers.
-func (st *site) sendSound(stop <-chan struct{}) {
+func (st *quarantineSite) sendSound(stop <-chan struct{}) {
 	ticker := time.NewTicker(soundEvery)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
@@ -197,16 +193,16 @@
 	}
 }
 
-func (st *site) send(id string, d *stand.Daemon, shared string) {
+func (st *quarantineSite) send(id string, d *Daemon, shared string) {
 	st.mu.Lock()
 	st.sentTo[id] = d
 	st.mu.Unlock()
 	st.script.Record.Add("request %s to %s", id, d.Name)
 	parts := strings.Split(shared+",own"+id, ",")
-	a := stand.Send(d.Caller, stand.Call{
+	a := Send(d.Caller, Call{
 		ID: id, Method: http.MethodPost, Path: "/rewrite/x", Timeout: 25 * time.Second,
 		Header: map[string]string{
-			"X-Request-Deadline": "25000", "Api-Key": stand.Key, "X-Model": "m1", "X-Token-Usage": "300,100",
+			"X-Request-Deadline": "25000", "Api-Key": Key, "X-Model": "m1", "X-Token-Usage": "300,100",
 			"X-Prompt-Prefix": strings.Join(parts, ":100,") + ":100",
 		},
 		Body: []byte("{}"),
--- a/review/stand/script.go
+++ b/review/cases/script_test.go
@@ -1,4 +1,4 @@
-package stand
+package cases
 
 import (
 	"fmt"
--- a/review/cmd/sighup/main.go
+++ b/review/cases/sighup_test.go
@@ -1,5 +1,4 @@
-// Command sighup stops a daemon gracefully and tells it meanwhile that its settings file has changed.
-package main
+package cases
 
 import (
 	"fmt"
@@ -9,8 +8,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"pollencourse.example/review/stand"
 )
 
 const (
@@ -18,36 +15,35 @@
 	desks    = 3
 	warmUp   = 3 * time.Second
 	hupAfter = 500 * time.Millisecond
-	// sendFor is how long requests are sent after the stop signal; grace is the bound graceS.
-	sendFor = 2 * time.Second
-	grace   = 8 * time.Second
-	// streamEvents events, one each eventEvery, make a stream of two seconds; bookings take bookingTime.
-	streamEvents = 40
-	eventEvery   = 50 * time.Millisecond
-	bookingTime  = 100 * time.Millisecond
-	sendEvery    = 25 * time.Millisecond
+	// sighupSendFor is how long requests are sent after the stop signal; grace is the bound graceS.
+	sighupSendFor = 2 * time.Second
+	grace         = 8 * time.Second
+	// sighupEvents events, one each sighupEventEvery, make a stream of two seconds; bookings take bookingTime.
+	sighupEvents     = 40
+	sighupEventEvery = 50 * time.Millisecond
+	bookingTime      = 100 * time.Millisecond
+	sighupSendEvery  = 25 * time.Millisecond
 )
 
-type site struct {
-	script *stand.Script
+type sighupSite struct {
+	script *Script
 
 	mu      sync.Mutex
 	runs    map[string]int
-	answers []stand.Answer
-	to      map[string]*stand.Daemon
+	answers []Answer
+	to      map[string]*Daemon
 }
 
-func main() { stand.Main(3, run) }
-
-func run(s *stand.Script) (bool, error) {
-	st := &site{script: s, runs: map[string]int{}, to: map[string]*stand.Daemon{}}
+// runSighup stops a daemon gracefully and tells it meanwhile that its settings file has changed.
+func runSighup(s *Script) (bool, error) {
+	st := &sighupSite{script: s, runs: map[string]int{}, to: map[string]*Daemon{}}
 	zones := []string{"pwani-a", "kaskazini-a", "pwani-b"}
 	for n := range writers + desks {
 		id, service, slots := fmt.Sprintf("i-w%d", n), "quote-writer", 48
 		if n >= writers {
 			id, service, slots = fmt.Sprintf("i-d%d", n), "booking-desk", 6
 		}
-		if err := stand.NewServer(id, service, zones[n%len(zones)], slots, s.Store, s.Record, st.handle).Start(); err != nil {
+		if err := NewServer(id, service, zones[n%len(zones)], slots, s.Store, s.Record, st.handle).Start(); err != nil {
 			return false, err
 		}
 	}
@@ -68,7 +64,7 @@
 	if s.Trouble {
 		stopped.Signal(syscall.SIGHUP)
 	}
-	time.Sleep(sendFor - hupAfter)
+	time.Sleep(sighupSendFor - hupAfter)
 	close(stop)
 	wg.Wait()
 	select {
@@ -79,8 +75,8 @@
 }
 
 // send sends bookings and streams to the daemons in turn, each on a connection of its own.
-func (st *site) send(wg *sync.WaitGroup, stop <-chan struct{}) {
-	ticker := time.NewTicker(sendEvery)
+func (st *sighupSite) send(wg *sync.WaitGroup, stop <-chan struct{}) {
+	ticker := time.NewTicker(sighupSendEvery)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		select {
@@ -89,9 +85,9 @@
 		case <-ticker.C:
 		}
 		d := st.script.Daemons[n%len(st.script.Daemons)]
-		call := stand.Call{
+		call := Call{
 			ID: fmt.Sprintf("book-%d", n), Method: http.MethodPost, Path: "/deposit/x", Timeout: 3 * time.Second,
-			Header: map[string]string{"X-Request-Deadline": "3000", "Api-Key": stand.Key}, Body: []byte("{}"),
+			Header: map[string]string{"X-Request-Deadline": "3000", "Api-Key": Key}, Body: []byte("{}"),
 		}
 		if n/len(st.script.Daemons)%2 == 1 {
 			call.ID, call.Path, call.Timeout = fmt.Sprintf("stream-%d", n), "/rewrite/x", 25*time.Second
@@ -106,7 +102,7 @@
 			st.to[call.ID] = d
 			st.mu.Unlock()
 			st.script.Record.Add("request %s to %s", call.ID, d.Name)
-			a := stand.Send(d.Caller, call)
+			a := Send(d.Caller, call)
 			st.script.Record.Add("request %s answered %d, complete %t, error %v", call.ID, a.Status, a.Complete, a.Err)
 			st.mu.Lock()
 			st.answers = append(st.answers, a)
@@ -117,7 +113,7 @@
 
 // cut counts the requests that the stopped daemon had passed on to a server, and that got no complete answer. No server
 // breaks off, and no request reaches its deadline.
-func (st *site) cut(stopped *stand.Daemon) int {
+func (st *sighupSite) cut(stopped *Daemon) int {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	bookings, streams := 0, 0
@@ -136,7 +132,7 @@
 	return bookings + streams
 }
 
-func (st *site) handle(s *stand.Server, c net.Conn, r *http.Request) {
+func (st *sighupSite) handle(s *Server, c net.Conn, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	st.mu.Lock()
 	st.runs[id]++
@@ -145,12 +141,12 @@
 	if strings.HasPrefix(r.URL.Path, "/deposit/") {
 		time.Sleep(bookingTime)
 		text := "booked " + id
-		if stand.WriteHead(c, s, r, "text/plain", len(text)) == nil {
+		if WriteHead(c, s, r, "text/plain", len(text)) == nil {
 			_, _ = c.Write([]byte(text))
 		}
 		return
 	}
-	if stand.WriteHead(c, s, r, "text/event-stream", -1) != nil {
+	if WriteHead(c, s, r, "text/event-stream", -1) != nil {
 		return
 	}
 	first := 1
@@ -158,11 +154,11 @@
 		_, _ = fmt.Sscan(last, &first)
 		first++
 	}
-	for i := first; i <= streamEvents; i++ {
-		if stand.WriteChunk(c, fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, id, i)) != nil {
+	for i := first; i <= sighupEvents; i++ {
+		if WriteChunk(c, fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, id, i)) != nil {
 			return
 		}
-		time.Sleep(eventEvery)
+		time.Sleep(sighupEventEvery)
 	}
-	_ = stand.WriteChunk(c, "")
+	_ = WriteChunk(c, "")
 }
--- a/review/cmd/unframed/main.go
+++ b/review/cases/unframed_test.go
@@ -1,5 +1,4 @@
-// Command unframed kills a model server whose streams end with their connection.
-package main
+package cases
 
 import (
 	"bufio"
@@ -9,27 +8,23 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"time"
-
-	"pollencourse.example/review/stand"
 )
 
 const (
-	engines = 6
-	events  = 40
+	engines      = 6
+	engineEvents = 40
 	// killAt is when one of the engines is killed; its entry goes after three heartbeats of silence.
-	killAt    = 4 * time.Second
-	entryTTL  = 3600 * time.Millisecond
-	sendFor   = 8 * time.Second
-	sendEvery = 60 * time.Millisecond
+	killAt            = 4 * time.Second
+	engineEntryTTL    = 3600 * time.Millisecond
+	unframedSendFor   = 8 * time.Second
+	unframedSendEvery = 60 * time.Millisecond
 )
 
-func main() { stand.Main(3, run) }
-
-func run(s *stand.Script) (bool, error) {
+// runUnframed kills a model server whose streams end with their connection.
+func runUnframed(s *Script) (bool, error) {
 	killed, err := startEngines(s)
 	if err != nil {
 		return false, err
@@ -41,26 +36,26 @@
 		time.AfterFunc(killAt, func() {
 			s.Record.Add("server %s is killed", engineID(0))
 			_ = killed.Process.Kill()
-			time.AfterFunc(entryTTL, func() { s.Store.Delete("servers", engineID(0)) })
+			time.AfterFunc(engineEntryTTL, func() { s.Store.Delete("servers", engineID(0)) })
 		})
 	}
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	var answers []stand.Answer
+	var answers []Answer
 	begin := time.Now()
-	for n := 0; time.Since(begin) < sendFor; n++ {
+	for n := 0; time.Since(begin) < unframedSendFor; n++ {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			a := send(s, n)
+			a := sendRewrite(s, n)
 			mu.Lock()
 			answers = append(answers, a)
 			mu.Unlock()
 		}()
-		time.Sleep(sendEvery)
+		time.Sleep(unframedSendEvery)
 	}
 	wg.Wait()
-	return check(s, answers) > 0, nil
+	return checkStreams(s, answers) > 0, nil
 }
 
 // inputs are the pipes whose end ends the engines.
@@ -69,12 +64,12 @@
 func engineID(n int) string { return fmt.Sprintf("i-%04d", n) }
 
 // startEngines starts the engines as processes that end with this one, and returns the one to kill.
-func startEngines(s *stand.Script) (*exec.Cmd, error) {
-	program := filepath.Join(filepath.Dir(os.Args[0]), "engine")
+func startEngines(s *Script) (*exec.Cmd, error) {
 	zones := []string{"pwani-a", "kaskazini-a", "pwani-b"}
 	var first *exec.Cmd
 	for n := range engines {
-		cmd := exec.Command(program, engineID(n), fmt.Sprint(events))
+		cmd := exec.Command(os.Args[0], engineID(n), fmt.Sprint(engineEvents))
+		cmd.Env = append(os.Environ(), caseVariable+"=engine")
 		in, err := cmd.StdinPipe()
 		if err != nil {
 			return nil, err
@@ -103,32 +98,32 @@
 	return first, nil
 }
 
-func send(s *stand.Script, n int) stand.Answer {
+func sendRewrite(s *Script, n int) Answer {
 	d := s.Daemons[n%len(s.Daemons)]
 	id := fmt.Sprintf("rewrite-%d", n)
 	s.Record.Add("request %s to %s", id, d.Name)
-	a := stand.Send(d.Caller, stand.Call{
+	a := Send(d.Caller, Call{
 		ID: id, Method: http.MethodPost, Path: "/rewrite/x", Timeout: 25 * time.Second,
 		Header: map[string]string{
-			"X-Request-Deadline": "25000", "Api-Key": stand.Key, "X-Model": "m1", "X-Token-Usage": "300,100",
+			"X-Request-Deadline": "25000", "Api-Key": Key, "X-Model": "m1", "X-Token-Usage": "300,100",
 			"X-Prompt-Prefix": fmt.Sprintf("f1:100,m%d:100,own%d:100", n%7, n),
 		},
 		Body: []byte("{}"),
 	})
-	s.Record.Add("request %s answered %d by %s, ended as complete %t, %d events of %d", id, a.Status, a.Header.Get("X-Instance-Id"), a.Complete, eventsIn(a), events)
+	s.Record.Add("request %s answered %d by %s, ended as complete %t, %d events of %d", id, a.Status, a.Header.Get("X-Instance-Id"), a.Complete, eventsIn(a), engineEvents)
 	return a
 }
 
-func eventsIn(a stand.Answer) int { return bytes.Count(a.Body, []byte("\n\n")) }
+func eventsIn(a Answer) int { return bytes.Count(a.Body, []byte("\n\n")) }
 
 // check counts the streams that ended as complete before their last event.
-func check(s *stand.Script, answers []stand.Answer) int {
+func checkStreams(s *Script, answers []Answer) int {
 	short, whole, cut := 0, 0, 0
 	for _, a := range answers {
 		switch {
 		case a.Status != http.StatusOK || !a.Complete:
 			cut++
-		case eventsIn(a) < events:
+		case eventsIn(a) < engineEvents:
 			short++
 		default:
 			whole++
