--- a/review/cases/daemon_test.go
+++ b/review/cases/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -111,6 +113,12 @@
 	return os.WriteFile(d.settings, data, 0o600)
 }
 
+// stopping is set once the script ends its processes.
+var stopping atomic.Bool
+
+// endsWithScript makes a process end with the script, also if that is killed.
+func endsWithScript() *syscall.SysProcAttr { return &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} }
+
 // Start starts the process.
 func (d *Daemon) Start() error {
 	log, err := os.OpenFile(d.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
@@ -120,7 +128,11 @@
 	defer log.Close()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if stopping.Load() {
+		return errors.New("the script is ending")
+	}
 	d.cmd = exec.Command(d.binary, "entry")
+	d.cmd.SysProcAttr = endsWithScript()
 	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "POLLENCOURSE_CONFIG=" + d.settings}
 	d.cmd.Stdout, d.cmd.Stderr = log, log
 	if err := d.cmd.Start(); err != nil {
--- a/review/cases/script_test.go
+++ b/review/cases/script_test.go
@@ -84,6 +84,7 @@
 
 // Close ends the daemons. It keeps their logs if KEEP names a folder.
 func (s *Script) Close() {
+	stopping.Store(true)
 	s.Each(func(d *Daemon) { d.Kill() })
 	if keep := os.Getenv("KEEP"); keep != "" {
 		for _, d := range s.Daemons {
@@ -104,7 +105,7 @@
 		os.Exit(ExitNotRun)
 	}
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGQUIT)
 	go func() {
 		select {
 		case <-signals:
--- a/review/cases/unframed_test.go
+++ b/review/cases/unframed_test.go
@@ -70,6 +70,7 @@
 	for n := range engines {
 		cmd := exec.Command(os.Args[0], engineID(n), fmt.Sprint(engineEvents))
 		cmd.Env = append(os.Environ(), caseVariable+"=engine")
+		cmd.SysProcAttr = endsWithScript()
 		in, err := cmd.StdinPipe()
 		if err != nil {
 			return nil, err
