--- a/review/cases/quarantine_test.go
+++ b/review/cases/quarantine_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -13,10 +12,8 @@
 const (
 	serverCount = 12
 	crashPart   = "bad0bad0"
-	// crashDelay is the time from the head of an answer to the crash, lateDelay that with LATE=1; backAfter is the time
-	// to the server's return.
+	// crashDelay is the time from the head of an answer to the crash, backAfter that to the server's return.
 	crashDelay = 20 * time.Millisecond
-	lateDelay  = 800 * time.Millisecond
 	backAfter  = 3 * time.Second
 	entryTTL   = 3600 * time.Millisecond
 	// badEvery is the time between two requests with the part.
@@ -41,9 +38,7 @@
 }
 
 type quarantineSite struct {
-	script     *Script
-	crashDelay time.Duration
-	killsAll   bool
+	script *Script
 
 	mu       sync.Mutex
 	number   int
@@ -52,14 +47,9 @@
 	sentTo   map[string]*Daemon
 }
 
-// runQuarantine plays a prompt part that crashes servers. By default it kills all daemons once they keep the part from
-// the servers; with LATE=1 the servers crash later after the beginning of an answer instead.
+// runQuarantine plays a prompt part that crashes servers, and kills all daemons once they keep it from the servers.
 func runQuarantine(s *Script) (bool, error) {
-	late := os.Getenv("LATE") == "1"
-	st := &quarantineSite{script: s, crashDelay: crashDelay, killsAll: s.Trouble && !late, sentTo: map[string]*Daemon{}}
-	if late && s.Trouble {
-		st.crashDelay = lateDelay
-	}
+	st := &quarantineSite{script: s, sentTo: map[string]*Daemon{}}
 	for range serverCount {
 		if err := st.startServer(); err != nil {
 			return false, err
@@ -82,7 +72,7 @@
 	for n := range badCount {
 		next := time.Now().Add(badEvery)
 		st.send(fmt.Sprintf("bad-%d", n), s.Daemons[n%len(s.Daemons)], "f1,"+crashPart)
-		if n == 2 && st.killsAll {
+		if n == 2 && s.Trouble {
 			time.Sleep(time.Until(next.Add(killAfter - badEvery)))
 			if err := st.restartAll(); err != nil {
 				return false, err
@@ -152,8 +142,7 @@
 		first++
 	}
 	if bad {
-		st.writeEvents(c, id, first, first-1+int(st.crashDelay/soundEventEvery))
-		time.Sleep(st.crashDelay % soundEventEvery)
+		time.Sleep(crashDelay)
 		if s.Crash() {
 			st.mu.Lock()
 			st.crashes = append(st.crashes, time.Now())
--- a/review/cases/unframed_test.go
+++ b/review/cases/unframed_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"strings"
 	"sync"
 	"time"
 )
@@ -16,28 +15,41 @@
 const (
 	engines      = 6
 	engineEvents = 40
-	// killAt is when one of the engines is killed; its entry goes after three heartbeats of silence.
-	killAt            = 4 * time.Second
+	// unframedEngines answer some requests without length and chunks, from unframedAfter on, for unframedFor.
+	unframedEngines = 3
+	unframedAfter   = time.Second
+	unframedFor     = 5 * time.Second
+	// engineEntryTTL is three heartbeats of silence, after which the entry of a killed engine goes.
 	engineEntryTTL    = 3600 * time.Millisecond
 	unframedSendFor   = 8 * time.Second
-	unframedSendEvery = 60 * time.Millisecond
+	unframedSendEvery = 25 * time.Millisecond
 )
 
-// runUnframed kills a model server whose streams end with their connection.
+// engineProcess is a started engine.
+type engineProcess struct {
+	id  string
+	cmd *exec.Cmd
+	in  io.WriteCloser
+}
+
+// runUnframed kills a model server while it writes a stream that ends with its connection.
 func runUnframed(s *Script) (bool, error) {
-	killed, err := startEngines(s)
+	unframed := make(chan *engineProcess, engines*unframedOneIn)
+	procs, err := startEngines(s, unframed)
 	if err != nil {
 		return false, err
 	}
 	if err := s.StartDaemons(); err != nil {
 		return false, err
 	}
+	go func() {
+		time.Sleep(unframedAfter)
+		tell(s, procs[:unframedEngines], unframedOn)
+		time.Sleep(unframedFor)
+		tell(s, procs[:unframedEngines], unframedOff)
+	}()
 	if s.Trouble {
-		time.AfterFunc(killAt, func() {
-			s.Record.Add("server %s is killed", engineID(0))
-			_ = killed.Process.Kill()
-			time.AfterFunc(engineEntryTTL, func() { s.Store.Delete("servers", engineID(0)) })
-		})
+		go kill(s, unframed)
 	}
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -58,45 +70,61 @@
 	return checkStreams(s, answers) > 0, nil
 }
 
-// inputs are the pipes whose end ends the engines.
-var inputs []io.WriteCloser
+// tell switches unframed answers on or off.
+func tell(s *Script, procs []*engineProcess, word string) {
+	for _, p := range procs {
+		s.Record.Add("server %s: one answer in %d without length and chunks: %s", p.id, unframedOneIn, word)
+		_, _ = fmt.Fprintln(p.in, word)
+	}
+}
 
-func engineID(n int) string { return fmt.Sprintf("i-%04d", n) }
+// kill kills the first engine that writes an unframed stream.
+func kill(s *Script, unframed <-chan *engineProcess) {
+	p := <-unframed
+	s.Record.Add("server %s is killed", p.id)
+	_ = p.cmd.Process.Kill()
+	time.AfterFunc(engineEntryTTL, func() { s.Store.Delete("servers", p.id) })
+}
 
-// startEngines starts the engines as processes that end with this one, and returns the one to kill.
-func startEngines(s *Script) (*exec.Cmd, error) {
+// startEngines starts the engines as processes that end with this one. They are sent to unframed for each stream of
+// theirs without length and chunks.
+func startEngines(s *Script, unframed chan<- *engineProcess) ([]*engineProcess, error) {
 	zones := []string{"pwani-a", "kaskazini-a", "pwani-b"}
-	var first *exec.Cmd
+	var procs []*engineProcess
 	for n := range engines {
-		cmd := exec.Command(os.Args[0], engineID(n), fmt.Sprint(engineEvents))
-		cmd.Env = append(os.Environ(), caseVariable+"=engine")
-		cmd.SysProcAttr = endsWithScript()
-		in, err := cmd.StdinPipe()
+		p := &engineProcess{id: fmt.Sprintf("i-%04d", n)}
+		p.cmd = exec.Command(os.Args[0], p.id, fmt.Sprint(engineEvents))
+		p.cmd.Env = append(os.Environ(), caseVariable+"=engine")
+		p.cmd.SysProcAttr = endsWithScript()
+		in, err := p.cmd.StdinPipe()
 		if err != nil {
 			return nil, err
 		}
-		inputs = append(inputs, in)
-		out, err := cmd.StdoutPipe()
+		p.in = in
+		out, err := p.cmd.StdoutPipe()
 		if err != nil {
 			return nil, err
 		}
-		if err := cmd.Start(); err != nil {
+		if err := p.cmd.Start(); err != nil {
 			return nil, err
 		}
-		if n == 0 {
-			first = cmd
+		lines := bufio.NewScanner(out)
+		if !lines.Scan() {
+			return nil, fmt.Errorf("server %s did not start", p.id)
 		}
-		address, err := bufio.NewReader(out).ReadString('\n')
-		if err != nil {
-			return nil, err
-		}
-		go func() { _, _ = io.Copy(io.Discard, out) }()
-		s.Store.Put("servers", engineID(n), map[string]any{
-			"service": "quote-writer", "address": strings.TrimSpace(address), "zone": zones[n%len(zones)], "version": "v1", "slots": 48,
+		s.Store.Put("servers", p.id, map[string]any{
+			"service": "quote-writer", "address": lines.Text(), "zone": zones[n%len(zones)], "version": "v1", "slots": 48,
 			"state": "ready", "coldRemainingMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
 		})
+		go func() {
+			for lines.Scan() {
+				s.Record.Add("server %s writes the stream of %s without length and chunks", p.id, lines.Text())
+				unframed <- p
+			}
+		}()
+		procs = append(procs, p)
 	}
-	return first, nil
+	return procs, nil
 }
 
 func sendRewrite(s *Script, n int) Answer {
