--- a/review/cases/main_test.go
+++ b/review/cases/main_test.go
@@ -19,6 +19,10 @@
 		Main(3, runUnframed)
 	case "quarantine":
 		Main(6, runQuarantine)
+	case "headcut":
+		Main(6, runHeadCut)
+	case "headcut-server":
+		runHeadCutServer()
 	case "engine":
 		runEngine()
 	default:
