review: the fleet is in two halves after its seeds were killed at once (PINNED)

Cause: restarted seeds join each other and no longer ask for others; the rest does not look for the new processes, and the list in the store is read every 30 s only.

--- a/review/cases/headcut_test.go
+++ b/review/cases/headcut_test.go
@@ -16,6 +16,16 @@
 )
 
 const (
+	crashPart = "bad0bad0"
+	// entryTTL is how long the store keeps the entry of a server that has ended.
+	entryTTL   = 3600 * time.Millisecond
+	soundEvery = 100 * time.Millisecond
+	// soundEvents events, one each soundEventEvery, make a stream.
+	soundEvents     = 60
+	soundEventEvery = 50 * time.Millisecond
+	// maxLate is the rule's bound, crashesBefore the crash from which contactMs counts.
+	maxLate        = 3
+	crashesBefore  = 5
 	headCutServers = 12
 	// headCutAt is how many bytes of its answer a server has written when it crashes: it cuts a line of the head.
 	headCutAt = 24
@@ -29,6 +39,11 @@
 	headCutWhole = "whole"
 )
 
+type arrival struct {
+	at      time.Time
+	request string
+}
+
 // headCutSite starts model servers as processes and sends requests, some of them with the part.
 type headCutSite struct {
 	script *Script
@@ -37,7 +52,6 @@
 	number   int
 	crashes  []time.Time
 	arrivals []arrival
-	sentTo   map[string]*Daemon
 	sound    int
 	served   int
 }
@@ -45,7 +59,7 @@
 // runHeadCut plays a prompt part that crashes servers in the middle of the head of their answer. With CUT=whole they
 // crash right after the head.
 func runHeadCut(s *Script) (bool, error) {
-	st := &headCutSite{script: s, sentTo: map[string]*Daemon{}}
+	st := &headCutSite{script: s}
 	for range headCutServers {
 		if err := st.startServer(); err != nil {
 			return false, err
--- a/review/cases/main_test.go
+++ b/review/cases/main_test.go
@@ -17,8 +17,8 @@
 		Main(3, runSighup)
 	case "unframed":
 		Main(3, runUnframed)
-	case "quarantine":
-		Main(6, runQuarantine)
+	case "seeds":
+		Main(pinnedDaemons, runSeeds)
 	case "headcut":
 		Main(6, runHeadCut)
 	case "headcut-server":
