--- a/review/5/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # CUT=whole lets the servers crash after the head of the answer.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/cases ] && [ -x target/pollencourse ] || exit 2
-REVIEW_CASE=headcut exec target/review/cases review/5 target/pollencourse
+REVIEW_CASE=headcut exec target/review/cases review/3 target/pollencourse
