signals: a log whose reader has gone does not end the process

Callers would have seen all requests of a daemon cut when the process that reads its standard output ends: Go ends a process on SIGPIPE for the standard output.

Why it works: with SIGPIPE ignored the write returns EPIPE, and the asynchronous writer of the log drops the line.

--- a/internal/app/entry/signals_test.go
+++ b/internal/app/entry/signals_test.go
@@ -192,3 +192,26 @@
 	require.NoError(t, w.Close())
 	p.awaitReady(t)
 }
+
+// TestALogThatNobodyReadsDoesNotEndTheProcess guards against SIGPIPE, which ends a process that writes to a standard output
+// whose reader has gone, as when a collector of logs restarts.
+func TestALogThatNobodyReadsDoesNotEndTheProcess(t *testing.T) {
+	store := newStoreStandin(t)
+	putConfig(store, 1)
+	s := newServerStandin(t, "i-0")
+	store.put("servers", s.id, s.entrySpec("s", "ready", 1))
+	p := newSignalledProcess(t, store)
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	p.cmd.Stdout, p.cmd.Stderr = w, w
+	p.start(t)
+	require.NoError(t, w.Close())
+	p.awaitReady(t)
+	require.NoError(t, r.Close())
+	for i := range 20 {
+		require.Eventually(t, func() bool { return p.get("/u/x", fmt.Sprint("r", i)) }, settleTimeout, pollInterval)
+		time.Sleep(pollInterval)
+	}
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	require.Zero(t, p.awaitExit(t))
+}
--- a/internal/core/signals/signals.go
+++ b/internal/core/signals/signals.go
@@ -12,11 +12,13 @@
 // Listen returns a context that ends on the first SIGTERM or SIGINT, and a channel that holds a value after a SIGHUP.
 //
 // The signals are never given back to their default action, which ends the process: a graceful shutdown still has
-// requests in flight when further signals arrive. Call it before anything else.
+// requests in flight when further signals arrive. SIGPIPE is ignored, so that a log whose reader has gone is lost without
+// the process. Call it before anything else.
 func Listen(parent context.Context) (ctx context.Context, reload <-chan os.Signal) {
 	stop, hangup := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(hangup, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, cancel := context.WithCancel(parent)
 	go func() {
 		defer cancel()
