--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -153,6 +153,7 @@
 		SuspectAfter:  c.Fleet.SuspectAfter, ListInterval: c.Platform.VMListInterval,
 		WatchersPerAZ: c.Platform.WatchersPerAZ, Seeds: c.Fleet.Seeds, OnSuperseded: d.supersede,
 	}, d.log)
+	hub.OnReplacement(members.MeetNewcomer)
 	gossip.SetOverlay(members)
 	d.kernel.Add(storeName, store.New(c.Platform.Store, c.Platform.StoreTimeout, c.Platform.StoreCallRate, d.log))
 	d.kernel.Add(peersName, hub)
--- a/internal/app/entry/daemon.go
+++ b/internal/app/entry/daemon.go
@@ -182,6 +182,7 @@
 		WatchersPerAZ: 1, Seeds: c.Seeds, OnSuperseded: func() {},
 	}, d.log)
 	list.live = members.Live
+	hub.OnReplacement(members.MeetNewcomer)
 	gossip.SetOverlay(members)
 	d.kernel.Add("peers", hub)
 	d.kernel.Add("relay", gossip)
--- a/internal/app/entry/signals_test.go
+++ b/internal/app/entry/signals_test.go
@@ -1,15 +1,11 @@
 package entry
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -19,93 +15,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// signalledProcess is a daemon that runs as a process of its own, from this test's binary.
-type signalledProcess struct {
-	host         string
-	settingsPath string
-	cmd          *exec.Cmd
-	log          bytes.Buffer
-	exited       chan struct{}
-}
-
-// newSignalledProcess returns a process that isn't started yet.
-func newSignalledProcess(t *testing.T, store *storeStandin) *signalledProcess {
-	t.Helper()
-	p := &signalledProcess{host: nextHost(), settingsPath: filepath.Join(t.TempDir(), "settings.json"), exited: make(chan struct{})}
-	p.cmd = exec.Command(os.Args[0])
-	p.cmd.Env = append(os.Environ(), soakDaemonEnv+"="+p.settingsPath)
-	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
-	require.NoError(t, os.WriteFile(p.settingsPath, p.settings(t, store), 0o600))
-	return p
-}
-
-func (p *signalledProcess) settings(t *testing.T, store *storeStandin) []byte {
-	t.Helper()
-	data, err := json.Marshal(map[string]any{
-		"nodeName": "d0", "ip": p.host, "zone": "a", "region": "r", "zones": map[string]string{"a": "r"}, "seeds": []string{p.host + ":8003"},
-		"listen":   map[string]string{"front": p.host + ":8001", "ready": p.host + ":8002", "control": p.host + ":8003", "directory": p.host + ":8004"},
-		"limits":   map[string]any{"memoryMb": 284, "maxFds": 4200},
-		"bounds":   map[string]any{"graceS": 8, "retryBudgetRatio": 0.9, "budgetSlack": 50, "retryWindowS": 10, "exposureShare": 0.15},
-		"platform": map[string]string{"address": store.addressFor(t, "d0")},
-	})
-	require.NoError(t, err)
-	return data
-}
-
-func (p *signalledProcess) start(t *testing.T) {
-	t.Helper()
-	require.NoError(t, p.cmd.Start())
-	go func() {
-		defer close(p.exited)
-		_ = p.cmd.Wait() // tests look at the exit code
-	}()
-	t.Cleanup(func() {
-		_ = p.cmd.Process.Kill() // fails if the process has exited
-		<-p.exited
-	})
-}
-
-func (p *signalledProcess) awaitReady(t *testing.T) {
-	t.Helper()
-	require.Eventually(t, func() bool {
-		resp, err := http.Get("http://" + p.host + ":8002/ready")
-		if err != nil {
-			return false
-		}
-		_ = resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	}, settleTimeout, pollInterval)
-}
-
-// awaitExit returns the exit code of the process, -1 if a signal ended it.
-func (p *signalledProcess) awaitExit(t *testing.T) int {
-	t.Helper()
-	select {
-	case <-p.exited:
-	case <-time.After(settleTimeout):
-		require.Fail(t, "the process goes on")
-	}
-	return p.cmd.ProcessState.ExitCode()
-}
-
-// get sends a request and reports whether its response was complete, and with status 200.
-func (p *signalledProcess) get(path, id string) (whole bool) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.host+":8001"+path, http.NoBody)
-	if err != nil {
-		return false
-	}
-	req.Host, req.Close = "h.example", true
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Request-Deadline", "8000")
-	resp, err := http.DefaultTransport.RoundTrip(req)
-	if err != nil {
-		return false
-	}
-	defer resp.Body.Close()
-	_, err = io.ReadAll(resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK
-}
-
 // timedSignal is a signal and when it is sent after the one before.
 type timedSignal struct {
 	after  time.Duration
@@ -140,7 +49,7 @@
 			putConfig(store, 1)
 			s := newServerStandin(t, "i-0")
 			store.put("servers", s.id, s.entrySpec("s", "ready", 1))
-			p := newSignalledProcess(t, store)
+			p := newDaemonProcess(t, store, "d0")
 			p.start(t)
 			p.awaitReady(t)
 			require.Eventually(t, func() bool { return p.get("/u/x", "warm") }, settleTimeout, pollInterval)
@@ -178,8 +87,8 @@
 func TestSIGHUPDuringTheStartDoesNotEndTheProcess(t *testing.T) {
 	store := newStoreStandin(t)
 	putConfig(store, 1)
-	p := newSignalledProcess(t, store)
-	data := p.settings(t, store)
+	p := newDaemonProcess(t, store, "d0")
+	data := p.settings(t, store, []string{p.peerAddress()})
 	require.NoError(t, os.Remove(p.settingsPath))
 	require.NoError(t, syscall.Mkfifo(p.settingsPath, 0o600))
 	p.start(t)
@@ -200,7 +109,7 @@
 	putConfig(store, 1)
 	s := newServerStandin(t, "i-0")
 	store.put("servers", s.id, s.entrySpec("s", "ready", 1))
-	p := newSignalledProcess(t, store)
+	p := newDaemonProcess(t, store, "d0")
 	r, w, err := os.Pipe()
 	require.NoError(t, err)
 	p.cmd.Stdout, p.cmd.Stderr = w, w
--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -62,6 +62,8 @@
 	ready        bool
 	listRevision int64
 	listFailing  bool
+	// newcomers holds the daemons that were found at the address of a former one, until they are members.
+	newcomers map[string]newcomer
 	// superseded is true once a newer process has this daemon's ID; this one then no longer publishes its own record.
 	superseded bool
 	onChange   []func()
@@ -72,7 +74,10 @@
 
 // New returns the membership of the daemon self.
 func New(self peer.Node, gossip Gossip, joiner Joiner, list List, opts Options, log *event.Log) *Service {
-	s := &Service{self: self, gossip: gossip, joiner: joiner, list: list, opts: opts, log: log, lastAnswered: map[string]time.Time{}, synced: make(chan struct{})}
+	s := &Service{
+		self: self, gossip: gossip, joiner: joiner, list: list, opts: opts, log: log, lastAnswered: map[string]time.Time{},
+		newcomers: map[string]newcomer{}, synced: make(chan struct{}),
+	}
 	s.markSynced = sync.OnceFunc(func() { close(s.synced) })
 	if !slices.ContainsFunc(opts.Seeds, func(seed string) bool { return seed != self.PeerAddress }) {
 		s.markSynced()
@@ -330,8 +335,15 @@
 	}
 }
 
-// joinPeers joins VMs of the list that have published no record, and the seeds while this daemon knows no other.
+// joinPeers joins VMs of the list that have published no record, seeds that are not members, and newcomers. A fleet whose
+// seeds were all restarted at once would otherwise stay in two parts: the restarted seeds know each other, and nobody else
+// has a reason to look for them.
 func (s *Service) joinPeers(ctx context.Context, round int) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, n := range s.unknownNewcomers(time.Now()) {
+		wg.Go(func() { s.synchronise(ctx, n) })
+	}
 	var addresses []string
 	for _, vm := range s.view().unjoined {
 		if vm.ID != s.self.ID && !vm.Leaving {
@@ -339,16 +351,14 @@
 		}
 	}
 	timeout := s.opts.SuspectAfter
-	if len(s.Live()) < 2 {
-		addresses = append(addresses, s.opts.Seeds...)
+	if seeds := s.seedsToJoin(); len(seeds) > 0 {
+		addresses = append(addresses, seeds...)
 		timeout = min(timeout, firstJoinTimeout<<(round%joinTimeoutSteps))
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	var wg sync.WaitGroup
 	for _, a := range addresses[:min(len(addresses), maxJoinsPerRound)] {
 		wg.Go(func() { s.join(ctx, a, timeout) })
 	}
-	wg.Wait()
 }
 
 const (
@@ -372,13 +382,16 @@
 	}
 	joinCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	n, err := s.joiner.Join(joinCtx, address)
-	if err != nil {
-		return
+	if n, err := s.joiner.Join(joinCtx, address); err == nil {
+		s.synchronise(ctx, n)
 	}
-	syncCtx, cancel := context.WithTimeout(ctx, s.opts.SuspectAfter)
+}
+
+// synchronise exchanges the fleet table with a daemon.
+func (s *Service) synchronise(ctx context.Context, n peer.Node) {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.SuspectAfter)
 	defer cancel()
-	if s.gossip.Sync(syncCtx, n) == nil {
+	if s.gossip.Sync(ctx, n) == nil {
 		s.markSynced()
 	}
 }
--- a/internal/fleet/peer/hub.go
+++ b/internal/fleet/peer/hub.go
@@ -45,6 +45,7 @@
 	newestIncarnation map[string]int64
 	replaced          replacedNodes
 	superseded        func()
+	onReplacement     func(by Node)
 }
 
 const (
@@ -78,6 +79,9 @@
 	h.handlers[service] = fn
 }
 
+// OnReplacement calls fn with a daemon that was found at the address of another one. It must be called before Run.
+func (h *Hub) OnReplacement(fn func(by Node)) { h.onReplacement = fn }
+
 // Run accepts connections until ctx ends, then closes all connections.
 func (h *Hub) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = h.listener.Close() })
@@ -370,6 +374,9 @@
 		h.mu.Lock()
 		h.replaced.add(to, s.node.ID, time.Now())
 		h.mu.Unlock()
+		if h.onReplacement != nil {
+			h.onReplacement(s.node)
+		}
 		return nil, errReplaced(to, s.node.ID)
 	}
 	return s, nil
