--- a/internal/core/event/catalogue.go
+++ b/internal/core/event/catalogue.go
@@ -70,6 +70,7 @@
 	ServerEnded       = Event{606, "serverEnded", log.WarnLevel, "a backend server broke its connections and no longer listens; suspects are the prompt parts of the requests that it had just begun to answer", "check why the server ended; see event 607"}
 	PartQuarantined   = Event{607, "partQuarantined", log.ErrorLevel, "servers ended one after the other under requests with a prompt part; requests with it are not sent to servers", "find out why the part crashes the servers; see the requests that event 606 names for them"}
 	PartTried         = Event{608, "partTried", log.WarnLevel, "one request with a quarantined prompt part is sent to a server to see whether it still ends", "none"}
+	ContentHeld       = Event{614, "contentHeld", log.WarnLevel, "this daemon has seen several servers end under the content of a request and keeps it from servers for a time", "see the requests that event 606 names for it; event 607 follows if the other daemons saw the same"}
 	PartReleased      = Event{609, "partReleased", log.InfoLevel, "requests with a prompt part that was quarantined are sent to servers again", "none"}
 	RequestDone       = Event{610, "requestDone", log.InfoLevel, "the response of a backend server was passed on to the caller", "none"}
 	RequestFailed     = Event{611, "requestFailed", log.WarnLevel, "a request was refused or failed", "search the log for its request ID to find its attempts"}
@@ -99,7 +100,7 @@
 	ChargeBatchStored, ChargeBatchTaken, ChargeUnprotected, ChargeBufferFull, ChargeBatchRefused,
 	IntentReleased, IntentUnknown, OutcomeNotWritten,
 	AttemptFailed, AnswerMismatch, AnswerIncomplete, AttemptDisallowed, ServerPaused, FieldUnreadable,
-	ServerEnded, PartQuarantined, PartTried, PartReleased,
+	ServerEnded, PartQuarantined, PartTried, PartReleased, ContentHeld,
 	RequestDone, RequestFailed, StreamResumed, LinesDropped,
 	RolloutStopped, QualityBelow, RaterUnavailable,
 	RolloutState, RolloutWritten, RolloutUnreadable,
--- a/internal/decide/poison/evidence.go
+++ b/internal/decide/poison/evidence.go
@@ -25,7 +25,7 @@
 
 // PartKey returns the key by which a part is known here. It does not share memory with the ID.
 func PartKey(id string) string {
-	if len(id) <= maxPartBytes {
+	if len(id) <= maxPartBytes && !IsContent(id) {
 		return strings.Clone(id)
 	}
 	return "hash:" + strconv.FormatUint(xxhash.Sum64String(id), 16)
--- a/internal/decide/poison/hold.go
+++ b/internal/decide/poison/hold.go
@@ -11,13 +11,18 @@
 	maxHold    = time.Hour
 )
 
-// Hold returns how long requests with a part are kept from servers after the given number of failed tries.
-func Hold(tries int) time.Duration {
-	if tries == 0 {
+// Hold returns how long requests with a part are kept from servers after the given number of failed tries. It is longer for
+// the content of a request, which keeps nobody else away.
+func Hold(part string, tries int) time.Duration {
+	switch {
+	case tries > 0:
+	case IsContent(part):
+		return failedHold
+	default:
 		return firstHold
 	}
 	d := failedHold
-	for range tries - 1 {
+	for range max(0, tries-1) {
 		if d *= 2; d >= maxHold {
 			return maxHold
 		}
@@ -28,8 +33,8 @@
 // TryDue reports whether one request with a part may be tried at a server. Until the part has failed a try of its own, it is
 // not tried together with another quarantined part, which might be the guilty one, unless for failedHold no request had
 // it alone.
-func TryDue(sinceVerdict time.Duration, tries int, alone bool) bool {
-	return sinceVerdict >= Hold(tries) && (alone || tries > 0 || sinceVerdict >= failedHold)
+func TryDue(part string, sinceVerdict time.Duration, tries int, alone bool) bool {
+	return sinceVerdict >= Hold(part, tries) && (alone || tries > 0 || sinceVerdict >= failedHold)
 }
 
 // Block says why a request isn't sent to servers.
@@ -51,6 +56,6 @@
 	SentAt      time.Time
 	// AnswerBegan is when the answer began; zero if it did not.
 	AnswerBegan time.Time
-	// Parts are the keys of the parts that other requests may share.
+	// Parts are the keys of the parts that other requests may share, and that of the request's content.
 	Parts []string
 }
--- a/internal/decide/poison/verdict.go
+++ b/internal/decide/poison/verdict.go
@@ -16,11 +16,19 @@
 	minEnds             = 4
 	minRounds           = 3
 	maxEndsPerSuspicion = 4
+	// minContentEnds and minContentRounds take the place of minEnds and minRounds for the content of a request.
+	minContentEnds   = 3
+	minContentRounds = 2
+	// minOtherEndsDivisor sets how many of the ends of a part have to be without the content that explains the most of
+	// them: one in minOtherEndsDivisor.
+	minOtherEndsDivisor = 8
 	// manyEnds convict a part to which fewer ends are due, or in manyEndsRounds.
 	manyEnds       = 8
 	manyEndsRounds = 2
 	// plausibleEnds is the number of ends from which a part may be the cause of an end rather than others.
 	plausibleEnds = 3
+	// comparableExposures is the ratio of exposures up to which the content with more ends is the cause of an end.
+	comparableExposures = 2.0
 	// maxChance is the highest probability of the ends of a convicted part if servers ended at random.
 	maxChance = 1e-6
 	// exposureQuantile is the quantile of a part's exposures that counts for all of its ends: a part crashes servers after
@@ -36,7 +44,7 @@
 	maxNamedServers = 8
 )
 
-// Verdict says that a part crashes servers.
+// Verdict says that a part, or the content of one request, crashes servers.
 type Verdict struct {
 	Part string
 	// Ends is the number of server incarnations that ended under the part, Rounds how many of them one after the other:
@@ -66,12 +74,7 @@
 // which that holds for the other ends, and so on.
 func (e *Evidence) Evaluate(c Case) []Verdict {
 	ends := slices.DeleteFunc(e.merged(c.Now), func(end *serverEnd) bool {
-		for part := range end.suspects {
-			if c.Convicted(part) {
-				return true
-			}
-		}
-		return false
+		return end.holdsConvicted(c, false)
 	})
 	var out []Verdict
 	for {
@@ -81,7 +84,10 @@
 			return out
 		}
 		out = append(out, found...)
-		ends = slices.DeleteFunc(ends, func(end *serverEnd) bool { return slices.Contains(due[found[0].Part], end) })
+		ends = slices.DeleteFunc(ends, func(end *serverEnd) bool {
+			_, suspected := end.suspects[found[0].Part]
+			return slices.Contains(due[found[0].Part], end) || suspected && IsContent(found[0].Part)
+		})
 	}
 }
 
@@ -89,8 +95,13 @@
 // that explain just the same ends.
 func nextVerdicts(c Case, due map[string][]*serverEnd, ends []*serverEnd) []Verdict {
 	var out []Verdict
-	for part := range due {
-		if v, ok := judge(c, part, due[part], ends); ok {
+	for part, explained := range due {
+		if IsContent(part) {
+			// The other requests at the ends of a convicted content were there by chance. Those with a part in common may not
+			// have been: of a part that crashes servers, each request may be convicted first.
+			explained = slices.DeleteFunc(slices.Clone(explained), func(end *serverEnd) bool { return end.holdsConvicted(c, true) })
+		}
+		if v, ok := judge(c, part, explained, ends); ok {
 			out = append(out, v)
 		}
 	}
@@ -101,38 +112,93 @@
 		return cmp.Or(cmp.Compare(a.Chance, b.Chance), strings.Compare(a.Part, b.Part))
 	})
 	best := out[0].Part
-	return slices.DeleteFunc(out, func(v Verdict) bool { return !slices.Equal(due[v.Part], due[best]) })
+	return slices.DeleteFunc(out, func(v Verdict) bool {
+		return IsContent(v.Part) != IsContent(best) || !slices.Equal(due[v.Part], due[best])
+	})
 }
 
-// attribute returns, by part, the ends that the part explains as well as any other suspect: the part with the shortest
-// exposures is the most plausible cause.
-func attribute(ends []*serverEnd) map[string][]*serverEnd {
-	exposures := map[string]float64{}
-	plausible := map[*serverEnd][]string{}
+// holdsConvicted reports whether a convicted part, or a convicted content, is a suspect of the end.
+func (s *serverEnd) holdsConvicted(c Case, content bool) bool {
+	for part := range s.suspects {
+		if IsContent(part) == content && c.Convicted(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// explainedByOneContent reports whether the content of one request is a suspect of nearly all ends: then it is the request
+// that crashes servers, not a part that others share with it.
+func explainedByOneContent(ends []*serverEnd) bool {
+	most, counts := 0, map[string]int{}
+	for _, end := range ends {
+		for part := range end.suspects {
+			if IsContent(part) {
+				counts[part]++
+				most = max(most, counts[part])
+			}
+		}
+	}
+	return most > 1 && (len(ends)-most)*minOtherEndsDivisor < len(ends)
+}
+
+// cause is a suspect of ends that may have caused them.
+type cause struct {
+	part string
+	// ends is the number of ends of which it is a suspect, exposure the exposure in seconds that counts for all of them.
+	ends     int
+	exposure float64
+}
+
+// plausibleCauses returns the causes of each end. A part that only one request brought is none: it would take the ends of a
+// part that crashes servers with it.
+func plausibleCauses(ends []*serverEnd) map[*serverEnd][]cause {
+	out := map[*serverEnd][]cause{}
 	for part, suspected := range suspectedEnds(ends) {
-		if len(suspected) < plausibleEnds {
+		if len(suspected) < plausibleEnds || !IsContent(part) && explainedByOneContent(suspected) {
 			continue
 		}
-		exposures[part] = exposureOf(part, suspected)
 		for _, end := range suspected {
-			plausible[end] = append(plausible[end], part)
+			out[end] = append(out[end], cause{part, len(suspected), exposureOf(part, suspected)})
 		}
 	}
+	return out
+}
+
+// attribute returns, by part, the ends that the part explains as well as any other suspect: the one with the shortest
+// exposures is the most plausible cause. Parts have to compare with parts only, contents with both.
+func attribute(ends []*serverEnd) map[string][]*serverEnd {
+	plausible := plausibleCauses(ends)
 	out := map[string][]*serverEnd{}
 	for _, end := range ends {
-		shortest := math.Inf(1)
-		for _, part := range plausible[end] {
-			shortest = min(shortest, exposures[part])
+		causes := plausible[end]
+		shortest, shortestOfParts := math.Inf(1), math.Inf(1)
+		for _, c := range causes {
+			shortest = min(shortest, c.exposure)
+			if !IsContent(c.part) {
+				shortestOfParts = min(shortestOfParts, c.exposure)
+			}
 		}
-		for _, part := range plausible[end] {
-			if exposures[part] <= similarExposures*shortest {
-				out[part] = append(out[part], end)
+		for _, c := range causes {
+			least := shortestOfParts
+			if IsContent(c.part) {
+				least = shortest
+			}
+			if c.exposure <= similarExposures*least && !c.metByChance(causes) {
+				out[c.part] = append(out[c.part], end)
 			}
 		}
 	}
 	return out
 }
 
+// metByChance reports whether c is the content of a request that was there when another one, with more ends, ended the server.
+func (c cause) metByChance(causes []cause) bool {
+	return IsContent(c.part) && slices.ContainsFunc(causes, func(other cause) bool {
+		return IsContent(other.part) && other.ends > c.ends && other.exposure <= comparableExposures*c.exposure
+	})
+}
+
 // suspectedEnds returns the ends of which each part is a suspect. Once a part was answered at plausibleEnds of them, those at
 // which its requests only waited no longer count.
 func suspectedEnds(ends []*serverEnd) map[string][]*serverEnd {
@@ -165,8 +231,15 @@
 
 // judge returns the verdict on a part to which some of the ends are due.
 func judge(c Case, part string, due, ends []*serverEnd) (Verdict, bool) {
+	least, rounds := minEnds, minRounds
+	if IsContent(part) {
+		least, rounds = minContentEnds, minContentRounds
+	}
+	if len(due) < least {
+		return Verdict{}, false
+	}
 	v := Verdict{Part: part, Ends: len(due), Since: due[0].at}
-	if c.Now.Sub(v.Since) < c.MinSpan || v.Ends < minEnds {
+	if c.Now.Sub(v.Since) < c.MinSpan {
 		return v, false
 	}
 	sinceFirst := 0
@@ -188,6 +261,6 @@
 	// The rate at which a server ends for other reasons.
 	hazard := float64(sinceFirst-v.Ends+1) / (float64(max(1, c.Servers)) * max(minHazardSpan, c.Now.Sub(v.Since)).Seconds())
 	v.Chance = math.Pow(math.Min(1, hazard*exposureOf(part, due)), float64(v.Ends))
-	usual := v.Rounds >= minRounds && v.Ends*maxEndsPerSuspicion >= sinceFirst
+	usual := v.Rounds >= rounds && v.Ends*maxEndsPerSuspicion >= sinceFirst
 	return v, v.Chance <= maxChance && (usual || v.Ends >= manyEnds && v.Rounds >= manyEndsRounds)
 }
--- a/internal/fleet/quarantine/breaks.go
+++ b/internal/fleet/quarantine/breaks.go
@@ -24,6 +24,8 @@
 	// maxSuspectsPerEnd and maxReportedEnds bound a report, whatever requests hold.
 	maxSuspectsPerEnd = 32
 	maxReportedEnds   = 48
+	// maxContentsPerEnd bounds the contents of requests among the suspects of an end.
+	maxContentsPerEnd = 8
 	// maxLoggedRequests bounds the requests that a log line names.
 	maxLoggedRequests = 8
 )
@@ -111,6 +113,9 @@
 	s.mu.Lock()
 	delete(s.breaks, key)
 	s.mu.Unlock()
+	if ended {
+		s.recordEnd(key, b)
+	}
 	counted := false
 	for i := range b.attempts {
 		a := &b.attempts[i]
@@ -120,9 +125,6 @@
 		a.judge(!ended || !counted)
 		counted = counted || !a.whole
 	}
-	if ended {
-		s.recordEnd(key, b)
-	}
 }
 
 // hasEnded reports whether nothing listens at a server's address. A server that is out of reach may still run.
@@ -164,6 +166,7 @@
 		s.ownEnds = slices.Delete(s.ownEnds, 0, len(s.ownEnds)-maxReportedEnds)
 	}
 	s.evidence.Replace(s.opts.VM, s.ownEnds)
+	s.holdContents(end)
 	s.noteChange()
 	s.mu.Unlock()
 	for _, part := range failedTries {
@@ -172,26 +175,16 @@
 }
 
 // suspects returns the parts of the attempts that a server ended under, but for those that this daemon has seen cleared. If
-// there are too many, those that were suspects before come first, then those of the answers that began last.
+// there are too many, those that were suspects before come first, then those of the answers that began last. At most
+// maxContentsPerEnd of them are contents.
 func (s *Service) suspects(b *serverBreaks) []poison.Suspect {
 	byPart := map[string]poison.Suspect{}
-	for _, a := range b.attempts {
-		answering, exposure := !a.AnswerBegan.IsZero(), b.at.Sub(a.SentAt)
-		if answering {
-			exposure = b.at.Sub(a.AnswerBegan)
-		}
-		if answering && exposure >= poison.Probation {
-			continue
-		}
-		for _, part := range a.Parts {
-			if at, ok := s.cleared.Peek(part); ok && b.at.Sub(at) < poison.ClearedFor {
-				continue
-			}
-			sus := poison.Suspect{Part: part, SentAt: a.SentAt, Answering: answering, Exposure: exposure}
-			if known, ok := byPart[part]; ok {
+	for i := range b.attempts {
+		for _, sus := range s.suspectsOf(&b.attempts[i], b.at) {
+			if known, ok := byPart[sus.Part]; ok {
 				sus = known.Merge(sus)
 			}
-			byPart[part] = sus
+			byPart[sus.Part] = sus
 		}
 	}
 	seen := map[string]int{}
@@ -206,5 +199,33 @@
 	out := slices.SortedFunc(maps.Values(byPart), func(x, y poison.Suspect) int {
 		return cmp.Or(cmp.Compare(seen[y.Part], seen[x.Part]), cmp.Compare(x.Exposure, y.Exposure), strings.Compare(x.Part, y.Part))
 	})
+	contents := 0
+	out = slices.DeleteFunc(out, func(sus poison.Suspect) bool {
+		if poison.IsContent(sus.Part) {
+			contents++
+		}
+		return poison.IsContent(sus.Part) && contents > maxContentsPerEnd
+	})
 	return out[:min(len(out), maxSuspectsPerEnd)]
 }
+
+// suspectsOf returns the suspects that one attempt brings to the end of its server. The content of a request that waits is
+// none: it is no more likely than that of any other.
+func (s *Service) suspectsOf(a *brokenAttempt, endAt time.Time) []poison.Suspect {
+	answering, exposure := !a.AnswerBegan.IsZero(), endAt.Sub(a.SentAt)
+	if answering {
+		exposure = endAt.Sub(a.AnswerBegan)
+	}
+	if answering && exposure >= poison.Probation {
+		return nil
+	}
+	var out []poison.Suspect
+	for _, part := range a.Parts {
+		at, cleared := s.cleared.Peek(part)
+		if cleared && endAt.Sub(at) < poison.ClearedFor || poison.IsContent(part) && !answering {
+			continue
+		}
+		out = append(out, poison.Suspect{Part: part, SentAt: a.SentAt, Answering: answering, Exposure: exposure})
+	}
+	return out
+}
--- a/internal/fleet/quarantine/quarantined.go
+++ b/internal/fleet/quarantine/quarantined.go
@@ -35,7 +35,8 @@
 	// tryTurn is how long the daemons leave a try to the first one; within tryTurns after it each has its turn.
 	tryTurn  = 3 * time.Second
 	tryTurns = 10 * time.Second
-	// maxQuarantined bounds the quarantined parts; a further one lifts the quarantine of the oldest.
+	// maxQuarantined bounds the quarantined parts, and the quarantined contents of requests; a further one lifts the
+	// quarantine of the oldest of its kind.
 	maxQuarantined = 128
 	// liftedRecordLifetime is how long the record of a lifted quarantine is kept, for daemons that still have an older one.
 	liftedRecordLifetime = 10 * time.Minute
@@ -82,7 +83,7 @@
 
 // convict publishes a verdict.
 func (s *Service) convict(v poison.Verdict) {
-	s.liftOldest()
+	s.liftOldest(poison.IsContent(v.Part))
 	s.publish(quarantinePrefix+v.Part, &peerpb.QuarantineRecord{
 		Part: v.Part, Ends: int32(v.Ends), Rounds: int32(v.Rounds), Servers: v.Servers, Daemon: s.opts.VM,
 		Reason:      fmt.Sprintf("%d servers ended under requests with the part, %d of them one after the other, and none of its requests was answered", v.Ends, v.Rounds),
@@ -107,16 +108,20 @@
 	s.publish(quarantinePrefix+part, rec)
 }
 
-// liftOldest makes room for a further part.
-func (s *Service) liftOldest() {
+// liftOldest makes room for a further part or content.
+func (s *Service) liftOldest(content bool) {
 	s.mu.Lock()
-	if len(s.quarantined) < maxQuarantined {
+	var kind []string
+	for part := range s.quarantined {
+		if poison.IsContent(part) == content {
+			kind = append(kind, part)
+		}
+	}
+	if len(kind) < maxQuarantined {
 		s.mu.Unlock()
 		return
 	}
-	oldest := slices.MinFunc(slices.Collect(maps.Keys(s.quarantined)), func(a, b string) int {
-		return s.quarantined[a].since.Compare(s.quarantined[b].since)
-	})
+	oldest := slices.MinFunc(kind, func(a, b string) int { return s.quarantined[a].since.Compare(s.quarantined[b].since) })
 	s.mu.Unlock()
 	s.lift(oldest, "too many parts are quarantined")
 }
@@ -201,11 +206,14 @@
 
 // Admit reports whether a request with the given shared prompt parts may be sent to a server; if not, the block says why.
 func (s *Service) Admit(request string, parts []string) (block poison.Block, ok bool) {
+	now := time.Now()
+	if block, ok := s.admitContents(parts, now); !ok {
+		return block, false
+	}
 	if s.quarantinedCount.Load() == 0 || len(parts) == 0 {
 		return poison.Block{}, true
 	}
-	live := s.members.Live()
-	claims, block, ok := s.admit(request, parts, live, time.Now())
+	claims, block, ok := s.admit(request, parts, s.members.Live(), now)
 	for _, rec := range claims {
 		s.publish(quarantinePrefix+rec.GetPart(), rec)
 	}
@@ -225,8 +233,8 @@
 	mayTry := true
 	for part, q := range found {
 		held := now.Sub(q.since) - s.tryDelay(part, live)
-		mayTry = mayTry && poison.TryDue(held, q.tries, len(found) == 1) && now.After(q.tryEnds)
-		if remaining := max(minRemaining, poison.Hold(q.tries)-now.Sub(q.since)); remaining > block.Remaining {
+		mayTry = mayTry && poison.TryDue(part, held, q.tries, len(found) == 1) && now.After(q.tryEnds)
+		if remaining := max(minRemaining, poison.Hold(part, q.tries)-now.Sub(q.since)); remaining > block.Remaining {
 			block = poison.Block{Part: part, Ends: q.ends, Remaining: remaining}
 		}
 	}
--- a/internal/fleet/quarantine/service.go
+++ b/internal/fleet/quarantine/service.go
@@ -69,12 +69,16 @@
 	// quarantinedCount is len(quarantined), for requests to skip the lock.
 	quarantinedCount atomic.Int64
 	blockedCount     atomic.Int64
+	// heldCount is len(heldContents), for requests to skip the lock.
+	heldCount atomic.Int64
 
 	mu          sync.Mutex
 	breaks      map[incarnation]*serverBreaks
 	evidence    *poison.Evidence
 	quarantined map[string]*quarantinedPart
 	lifted      map[string]time.Time
+	// heldContents holds until when this daemon by itself keeps the contents of requests from servers.
+	heldContents map[string]time.Time
 	// ownEnds are the ends that this daemon reports, objections the parts that it clears for others.
 	ownEnds    []poison.End
 	objections map[string]time.Time
@@ -99,6 +103,7 @@
 		self: self, gossip: gossip, members: members, opts: opts, log: log, changed: make(chan struct{}, 1), cleared: cleared, suspected: suspected,
 		breaks: map[incarnation]*serverBreaks{}, evidence: poison.NewEvidence(), quarantined: map[string]*quarantinedPart{},
 		lifted: map[string]time.Time{}, objections: map[string]time.Time{}, verdictSince: map[string]time.Time{},
+		heldContents: map[string]time.Time{},
 	}
 	gossip.MarkFrequent(reportPrefix)
 	gossip.Fleet().Subscribe(reportPrefix, s.handleReport)
@@ -146,7 +151,7 @@
 	switch {
 	case time.Since(s.lastChange) < activeTime:
 		return roundInterval, true
-	case s.evidence.Empty() && len(s.lifted) == 0 && len(s.objections) == 0:
+	case s.evidence.Empty() && len(s.lifted) == 0 && len(s.objections) == 0 && len(s.heldContents) == 0:
 		return 0, false
 	default:
 		return quietInterval, true
@@ -167,9 +172,10 @@
 func (s *Service) expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ownEnds = slices.DeleteFunc(s.ownEnds, func(end poison.End) bool {
-		return now.Sub(end.At) > poison.Window || slices.ContainsFunc(end.Suspects, func(sus poison.Suspect) bool { return s.isQuarantined(sus.Part) })
-	})
+	s.ownEnds = slices.DeleteFunc(s.ownEnds, func(end poison.End) bool { return now.Sub(end.At) > poison.Window })
+	for i := range s.ownEnds {
+		s.ownEnds[i].Suspects = s.explained(s.ownEnds[i].Suspects)
+	}
 	s.evidence.Replace(s.opts.VM, s.ownEnds)
 	s.evidence.Expire(now)
 	for part, at := range s.objections {
@@ -177,6 +183,7 @@
 			delete(s.objections, part)
 		}
 	}
+	s.expireHeldContents(now)
 	for part, at := range s.lifted {
 		if now.Sub(at) > liftedRecordLifetime {
 			delete(s.lifted, part)
@@ -185,6 +192,16 @@
 	}
 }
 
+// explained returns the quarantined part among the suspects of an end if there is one, or else all of them. The end stays in
+// the report: other daemons that saw it under other requests would otherwise look for another cause. Callers hold s.mu.
+func (s *Service) explained(suspects []poison.Suspect) []poison.Suspect {
+	i := slices.IndexFunc(suspects, func(sus poison.Suspect) bool { return !poison.IsContent(sus.Part) && s.isQuarantined(sus.Part) })
+	if i < 0 {
+		return suspects
+	}
+	return suspects[i : i+1]
+}
+
 // isQuarantined reports whether requests with a part are kept from servers. Callers hold s.mu.
 func (s *Service) isQuarantined(part string) bool {
 	_, ok := s.quarantined[part]
--- a/internal/route/forward/quarantine.go
+++ b/internal/route/forward/quarantine.go
@@ -13,7 +13,7 @@
 // checkQuarantine returns an error if the request holds a prompt part under which servers ended. It is called before each
 // attempt, since the part may have been quarantined since the last one.
 func (h *handler) checkQuarantine() error {
-	block, ok := h.router.quarantine.Admit(h.req.ID, h.sharedParts)
+	block, ok := h.router.quarantine.Admit(h.req.ID, h.suspectKeys)
 	if ok {
 		return nil
 	}
@@ -21,17 +21,48 @@
 	if h.mayHaveRun {
 		outcome = fault.Unknown
 	}
-	return fault.New(fault.Quarantined, "send it without this part, or ask the operator to release the part",
-		"%d backend servers ended under requests with the prompt part %s", block.Ends, block.Part).
+	return fault.New(fault.Quarantined, "change this part of the request, or ask the operator to release it",
+		"%d backend servers ended under requests with the %s", block.Ends, describeKey(block.Part)).
 		WithRetryAfter(block.Remaining).WithOutcome(outcome)
 }
 
+func describeKey(key string) string {
+	if poison.IsContent(key) {
+		return "same " + key
+	}
+	return "prompt part " + key
+}
+
 // fail records a failure of the attempt and releases its reservation.
 func (a *attempt) fail(ctx context.Context, f *Failure) {
 	a.broken = f.Sent && f.Reason == Truncated
 	a.finish(outcomeOfFailure(ctx, f))
 }
 
+// maxHastyBreaks is how many connections may break soon after the answer had begun before further attempts wait until it is
+// known whether the servers have ended. One end may be chance; of the second on, the request may be the cause.
+const maxHastyBreaks = 1
+
+// noteEarlyBreak records that the connection of the attempt broke; settled is closed once it is known whether the server has
+// ended.
+func (a *attempt) noteEarlyBreak(settled <-chan struct{}) {
+	if !a.answerBegan.IsZero() && time.Since(a.answerBegan) < poison.Probation {
+		a.handler.earlyBreaks++
+		a.handler.breakSettled = settled
+	}
+}
+
+// awaitBreaks waits until the quarantine can judge the breaks of earlier attempts, if there were too many.
+func (h *handler) awaitBreaks(ctx context.Context) {
+	if h.earlyBreaks <= maxHastyBreaks {
+		return
+	}
+	select {
+	case <-h.breakSettled:
+	case <-ctx.Done():
+	}
+}
+
 // recordProgress records that the server survived the answer once it has gone on for poison.Probation.
 func (a *attempt) recordProgress() {
 	if !a.shownSound && time.Since(a.answerBegan) >= poison.Probation {
@@ -55,7 +86,7 @@
 func (a *attempt) evidence() poison.Attempt {
 	return poison.Attempt{
 		Request: a.handler.req.ID, Server: a.server.ID, Incarnation: a.server.Born, Address: a.server.Address,
-		SentAt: a.startedAt, AnswerBegan: a.answerBegan, Parts: a.handler.sharedParts,
+		SentAt: a.startedAt, AnswerBegan: a.answerBegan, Parts: a.handler.suspectKeys,
 	}
 }
 
@@ -71,7 +102,7 @@
 const maxLoggedParts = 8
 
 func (h *handler) loggedParts() []string {
-	return h.sharedParts[:min(len(h.sharedParts), maxLoggedParts)]
+	return h.suspectKeys[:min(len(h.suspectKeys), maxLoggedParts)]
 }
 
 // attemptSet holds the attempts in flight.
@@ -98,7 +129,7 @@
 	r.attempts.mu.Lock()
 	defer r.attempts.mu.Unlock()
 	for a := range r.attempts.attempts {
-		if slices.Contains(a.handler.sharedParts, part) {
+		if slices.Contains(a.handler.suspectKeys, part) {
 			a.withdrawn.Store(true)
 			a.cancel()
 		}
--- a/internal/route/forward/request.go
+++ b/internal/route/forward/request.go
@@ -32,6 +32,16 @@
 	return keys
 }
 
+// suspectKeys returns the keys by which the quarantine knows a request: those of the parts that others may share, and that of
+// its content.
+func (r *Request) suspectKeys() []string {
+	fields := []string{r.Service, r.Account, r.Method, r.Target, r.Prompt.Model}
+	for _, p := range r.Prompt.Parts {
+		fields = append(fields, p.ID)
+	}
+	return append(r.Prompt.sharedParts(), poison.ContentKey(fields, r.Body))
+}
+
 // Request is a caller's request with its body read completely.
 type Request struct {
 	ID     string
--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -119,7 +119,7 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	r.budget(req.Service).Earn(time.Now())
-	h := &handler{router: r, req: req, w: w, lastEventID: req.LastEventID, sharedParts: req.Prompt.sharedParts()}
+	h := &handler{router: r, req: req, w: w, lastEventID: req.LastEventID, suspectKeys: req.suspectKeys()}
 	var err error
 	if req.streams() {
 		err = h.stream(ctx)
@@ -175,8 +175,8 @@
 	router *Router
 	req    *Request
 	w      http.ResponseWriter
-	// sharedParts are the keys of the prompt parts that other requests may share.
-	sharedParts []string
+	// suspectKeys are the keys of the prompt parts that other requests may share, and that of the request's content.
+	suspectKeys []string
 
 	// sentAttempts counts the attempts that reached a server.
 	sentAttempts int
@@ -189,6 +189,10 @@
 	headersSent bool
 	status      int
 	lastEventID string
+	// earlyBreaks counts the attempts whose connection broke soon after the answer had begun; breakSettled is closed once the
+	// quarantine knows whether the server of the last of them has ended.
+	earlyBreaks  int
+	breakSettled <-chan struct{}
 }
 
 // attempt is the state of one attempt from its reservation to its release.
@@ -223,6 +227,7 @@
 
 // startAttempt chooses a server and sends the request; the caller must finish the attempt.
 func (h *handler) startAttempt(ctx context.Context, model string) (*attempt, *Response, *Failure, error) {
+	h.awaitBreaks(ctx)
 	if err := h.checkQuarantine(); err != nil {
 		return nil, nil, nil, err
 	}
@@ -347,10 +352,13 @@
 		judge()
 		return
 	}
+	settled := make(chan struct{})
+	a.noteEarlyBreak(settled)
 	r.quarantine.Broken(a.evidence(), func(counts bool) {
 		if counts {
 			judge()
 		}
+		close(settled)
 	})
 }
 
