--- a/internal/fleet/quarantine/content_test.go
+++ b/internal/fleet/quarantine/content_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -48,3 +49,71 @@
 		}
 	}
 }
+
+// TestADaemonHoldsAContentBackByItselfForATime guards against a daemon that sends on what has ended several servers before its
+// eyes, and against one that never sends it again though the fleet does not convict it.
+func TestADaemonHoldsAContentBackByItselfForATime(t *testing.T) {
+	content, other := poison.ContentKey([]string{"a"}, nil), poison.ContentKey([]string{"b"}, nil)
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(1, 1, 8)
+		d, sentAt := f.daemons[0], time.Now().Add(-time.Second)
+		admits := func(key string) bool {
+			_, ok := d.Admit("r", []string{"first", key})
+			return ok
+		}
+		// All attempts are sent before the first end, which is too little for a verdict.
+		end := func(i int) {
+			f.servers[i].up = false
+			d.Broken(poison.Attempt{
+				Server: f.servers[i].id, Incarnation: f.servers[i].born, Address: f.servers[i].id, SentAt: sentAt, AnswerBegan: time.Now(), Parts: []string{"first", content},
+			}, func(bool) {})
+			time.Sleep(2 * breakWindow)
+		}
+		for i := range heldAfterEnds {
+			require.True(t, admits(content), "after %d ends", i)
+			end(i)
+		}
+		require.False(t, admits(content))
+		require.True(t, admits(other), "a request that shares its part")
+		time.Sleep(contact)
+		d.round()
+		require.True(t, admits(content), "the fleet has not convicted it")
+		end(heldAfterEnds)
+		time.Sleep(contact)
+		d.round()
+		require.False(t, admits(content), "a further end doubles the time")
+		time.Sleep(contact)
+		d.round()
+		require.True(t, admits(content))
+		require.Empty(t, d.heldContents)
+	})
+}
+
+// TestAWrongVerdictOnAContentEnds guards against a request that is never served again because servers ended under it by
+// chance.
+func TestAWrongVerdictOnAContentEnds(t *testing.T) {
+	content := poison.ContentKey([]string{"a"}, nil)
+	for _, byOperator := range []bool{false, true} {
+		t.Run(fmt.Sprint("by an operator ", byOperator), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimFleet(1, 1, 2)
+				d := f.daemons[0]
+				d.convict(poison.Verdict{Part: content, Ends: 3, Rounds: 3})
+				parts := []string{"first", content}
+				block, ok := d.Admit("r1", parts)
+				require.False(t, ok)
+				require.Positive(t, block.Remaining)
+				if byOperator {
+					require.True(t, d.Lift(content, "by hand"))
+				} else {
+					time.Sleep(block.Remaining)
+					_, ok = d.Admit("r2", parts)
+					require.True(t, ok, "one request is tried after the time that the caller was told")
+					d.Sound(poison.Attempt{Request: "r2", Parts: parts})
+				}
+				_, ok = d.Admit("r3", parts)
+				require.True(t, ok)
+			})
+		})
+	}
+}
--- a/internal/route/forward/quarantine_test.go
+++ b/internal/route/forward/quarantine_test.go
@@ -241,3 +241,53 @@
 		})
 	}
 }
+
+// TestAFailureWithoutALengthMayBeTheEndOfItsServer guards against taking a response that only the end of its connection ends
+// for whole, without looking whether its server has ended.
+func TestAFailureWithoutALengthMayBeTheEndOfItsServer(t *testing.T) {
+	for _, framed := range []bool{false, true} {
+		serveQuarantined(t, func() *Request { return promptRequest("first") }, func(*Router, *fakeQuarantine) script {
+			return func(context.Context, int, Attempt) (*Response, *Failure) {
+				r := response(500, "part of a mess")
+				r.Framed = framed
+				return r, nil
+			}
+		}, func(_ *fakeUpstream, q *fakeQuarantine, _ *httptest.ResponseRecorder, _ error) {
+			require.Equal(t, framed, len(q.broken) == 0)
+			require.Empty(t, q.sound)
+			require.Empty(t, q.closed)
+		})
+	}
+}
+
+// TestARequestThatBreaksAnswersWaitsForItsVerdict guards against a request that is taken from server to server faster than the
+// ends of the servers are noticed.
+func TestARequestThatBreaksAnswersWaitsForItsVerdict(t *testing.T) {
+	const settleTime = 100 * time.Millisecond
+	var sentAt []time.Duration
+	synctest.Test(t, func(*testing.T) {
+		q, up := &slowQuarantine{settleTime: settleTime}, &fakeUpstream{}
+		r := newTestRouter(up, 8)
+		r.quarantine = q
+		began := time.Now()
+		up.script = func(context.Context, int, Attempt) (*Response, *Failure) {
+			sentAt = append(sentAt, time.Since(began))
+			return nil, &Failure{Reason: Truncated, Sent: true, AnswerBegan: time.Now(), Err: io.ErrUnexpectedEOF}
+		}
+		req := promptRequest("first")
+		req.Route.MaxAttempts = 4
+		_ = r.Serve(context.Background(), req, httptest.NewRecorder()) // fails, as no attempt succeeds
+		time.Sleep(settleTime)
+	})
+	require.Equal(t, []time.Duration{0, 0, settleTime, 2 * settleTime}, sentAt, "one break may be chance")
+}
+
+// slowQuarantine takes a time to find out whether servers have ended.
+type slowQuarantine struct {
+	fakeQuarantine
+	settleTime time.Duration
+}
+
+func (q *slowQuarantine) Broken(_ poison.Attempt, judge func(bool)) {
+	time.AfterFunc(q.settleTime, func() { judge(true) })
+}
