--- a/internal/fleet/quarantine/breaks.go
+++ b/internal/fleet/quarantine/breaks.go
@@ -110,6 +110,8 @@
 func (s *Service) settleBreaks(key incarnation, b *serverBreaks, address string) {
 	ended := s.hasEnded(address)
 	time.Sleep(time.Until(b.at.Add(breakWindow)))
+	// A process that ends may close its connections before its listener.
+	ended = ended || s.hasEnded(address)
 	s.mu.Lock()
 	delete(s.breaks, key)
 	s.mu.Unlock()
--- a/internal/fleet/quarantine/release_test.go
+++ b/internal/fleet/quarantine/release_test.go
@@ -161,3 +161,20 @@
 		require.Equal(t, 1, d.reportedEnds())
 	})
 }
+
+// TestAServerWhoseListenerClosesLastHasEnded guards against a server that is asked while it ends and passes for one that goes
+// on: on a busy machine its connections are closed well before its listener (review/4).
+func TestAServerWhoseListenerClosesLastHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(1, 1, 2)
+		d := f.daemons[0]
+		time.AfterFunc(breakWindow/2, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.servers[0].up = false
+		})
+		d.Broken(poison.Attempt{Server: "i-0", Address: "i-0", SentAt: time.Now(), Parts: []string{"p"}}, func(bool) {})
+		time.Sleep(time.Second)
+		require.Equal(t, 1, d.reportedEnds())
+	})
+}
