poison: the ends that a convicted part shares with another one stay evidence

Cause: once one part is convicted, each end of which it is a suspect is explained, and since the reports were also reduced to that part. A trace of several_6: eight ends count for a second part, five of them shared; at the verdict on the first one two remain, and the next two ends of its own come 2 s later.

Fix: an end keeps all its suspects, as the reports are bounded anyway, and a part that is a suspect of explained ends needs three unexplained ends instead of four. The bounds of chance and rounds hold for the unexplained ends alone.

The regression test of the verdict fails before the fix.

--- a/internal/decide/poison/verdict.go
+++ b/internal/decide/poison/verdict.go
@@ -12,8 +12,10 @@
 
 const (
 	// minEnds is the number of ends that convict a part if there were minRounds and they are at least one in
-	// maxEndsPerSuspicion of the ends since the first one.
+	// maxEndsPerSuspicion of the ends since the first one. At least minUnexplainedEnds of them have to be without a
+	// convicted part.
 	minEnds             = 4
+	minUnexplainedEnds  = 3
 	minRounds           = 3
 	maxEndsPerSuspicion = 4
 	// minContentEnds and minContentRounds take the place of minEnds and minRounds for the content of a request.
@@ -73,13 +75,12 @@
 // Evaluate returns the parts that crash servers: the one whose ends are the least likely to be random first, then the one of
 // which that holds for the other ends, and so on.
 func (e *Evidence) Evaluate(c Case) []Verdict {
-	ends := slices.DeleteFunc(e.merged(c.Now), func(end *serverEnd) bool {
-		return end.holdsConvicted(c, false)
-	})
+	all := e.merged(c.Now)
+	ends := slices.DeleteFunc(slices.Clone(all), func(end *serverEnd) bool { return end.holdsConvicted(c, false) })
 	var out []Verdict
 	for {
 		due := attribute(ends)
-		found := nextVerdicts(c, due, ends)
+		found := nextVerdicts(c, due, ends, all)
 		if len(found) == 0 {
 			return out
 		}
@@ -92,16 +93,17 @@
 }
 
 // nextVerdicts returns the verdict on the part that explains the ends best, if the evidence suffices, and those on the parts
-// that explain just the same ends.
-func nextVerdicts(c Case, due map[string][]*serverEnd, ends []*serverEnd) []Verdict {
+// that explain just the same ends. Of all ends, the given ones are not yet explained.
+func nextVerdicts(c Case, due map[string][]*serverEnd, ends, all []*serverEnd) []Verdict {
 	var out []Verdict
+	overall, unexplained := countEnds(all), countEnds(ends)
 	for part, explained := range due {
 		if IsContent(part) {
 			// The other requests at the ends of a convicted content were there by chance. Those with a part in common may not
 			// have been: of a part that crashes servers, each request may be convicted first.
 			explained = slices.DeleteFunc(slices.Clone(explained), func(end *serverEnd) bool { return end.holdsConvicted(c, true) })
 		}
-		if v, ok := judge(c, part, explained, ends); ok {
+		if v, ok := judge(c, part, explained, ends, overall[part]-unexplained[part]); ok {
 			out = append(out, v)
 		}
 	}
@@ -229,9 +231,21 @@
 	return stat.Quantile(exposureQuantile, stat.Empirical, exposures, nil)
 }
 
-// judge returns the verdict on a part to which some of the ends are due.
-func judge(c Case, part string, due, ends []*serverEnd) (Verdict, bool) {
-	least, rounds := minEnds, minRounds
+// countEnds returns the number of ends of which each part is a suspect.
+func countEnds(ends []*serverEnd) map[string]int {
+	out := map[string]int{}
+	for _, end := range ends {
+		for part := range end.suspects {
+			out[part]++
+		}
+	}
+	return out
+}
+
+// judge returns the verdict on a part to which some of the unexplained ends are due. It is also a suspect of further ends,
+// which other parts explain.
+func judge(c Case, part string, due, ends []*serverEnd, further int) (Verdict, bool) {
+	least, rounds := max(minUnexplainedEnds, minEnds-further), minRounds
 	if IsContent(part) {
 		least, rounds = minContentEnds, minContentRounds
 	}
--- a/internal/decide/poison/verdict_test.go
+++ b/internal/decide/poison/verdict_test.go
@@ -147,6 +147,31 @@
 	require.Empty(t, e.Evaluate(c))
 }
 
+// TestAPartWhoseEndsAConvictedOneSharesIsConvicted guards against a part that crashes servers beside a convicted one and is
+// convicted too late, and against convicting its company for shared ends alone.
+func TestAPartWhoseEndsAConvictedOneSharesIsConvicted(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		shared, own int
+		now         float64
+		want        []string
+	}{
+		{"shared ends only", 6, 0, 6, []string{}},
+		{"two of its own", 6, 2, 6, []string{}},
+		{"three of its own", 2, 3, 6, []string{"q"}},
+		{"three of its own, and no others", 0, 3, 6, []string{}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			e := NewEvidence()
+			e.Replace("a", sequence(0, 0.5, tt.shared, "p", "q"))
+			e.Replace("b", sequence(2.1, 0.3, tt.own, "q"))
+			c := testCase(tt.now)
+			c.Convicted = func(part string) bool { return part == "p" }
+			require.ElementsMatch(t, tt.want, convictedParts(e.Evaluate(c)))
+		})
+	}
+}
+
 // TestAForgottenPartNeedsNewEnds guards against a part that is convicted again for ends of before it was released.
 func TestAForgottenPartNeedsNewEnds(t *testing.T) {
 	e := NewEvidence()
--- a/internal/fleet/quarantine/service.go
+++ b/internal/fleet/quarantine/service.go
@@ -173,9 +173,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ownEnds = slices.DeleteFunc(s.ownEnds, func(end poison.End) bool { return now.Sub(end.At) > poison.Window })
-	for i := range s.ownEnds {
-		s.ownEnds[i].Suspects = s.explained(s.ownEnds[i].Suspects)
-	}
 	s.evidence.Replace(s.opts.VM, s.ownEnds)
 	s.evidence.Expire(now)
 	for part, at := range s.objections {
@@ -192,16 +189,6 @@
 	}
 }
 
-// explained returns the quarantined part among the suspects of an end if there is one, or else all of them. The end stays in
-// the report: other daemons that saw it under other requests would otherwise look for another cause. Callers hold s.mu.
-func (s *Service) explained(suspects []poison.Suspect) []poison.Suspect {
-	i := slices.IndexFunc(suspects, func(sus poison.Suspect) bool { return !poison.IsContent(sus.Part) && s.isQuarantined(sus.Part) })
-	if i < 0 {
-		return suspects
-	}
-	return suspects[i : i+1]
-}
-
 // isQuarantined reports whether requests with a part are kept from servers. Callers hold s.mu.
 func (s *Service) isQuarantined(part string) bool {
 	_, ok := s.quarantined[part]
