--- a/internal/decide/poison/verdict.go
+++ b/internal/decide/poison/verdict.go
@@ -68,7 +68,8 @@
 	Servers int
 	// MinSpan is the least time since the first end, so that answers to sound requests can clear their parts.
 	MinSpan time.Duration
-	// Convicted reports whether a part is convicted already; the ends that it explains count for no other part.
+	// Convicted reports whether a part is convicted already. It explains the ends of which it is a suspect: other parts need
+	// minUnexplainedEnds besides them.
 	Convicted func(part string) bool
 }
 
@@ -93,17 +94,17 @@
 }
 
 // nextVerdicts returns the verdict on the part that explains the ends best, if the evidence suffices, and those on the parts
-// that explain just the same ends. Of all ends, the given ones are not yet explained.
+// that explain just the same ends. The ends are those of all that no part explains yet.
 func nextVerdicts(c Case, due map[string][]*serverEnd, ends, all []*serverEnd) []Verdict {
 	var out []Verdict
 	overall, unexplained := countEnds(all), countEnds(ends)
-	for part, explained := range due {
+	for part, dueEnds := range due {
 		if IsContent(part) {
 			// The other requests at the ends of a convicted content were there by chance. Those with a part in common may not
 			// have been: of a part that crashes servers, each request may be convicted first.
-			explained = slices.DeleteFunc(slices.Clone(explained), func(end *serverEnd) bool { return end.holdsConvicted(c, true) })
+			dueEnds = slices.DeleteFunc(slices.Clone(dueEnds), func(end *serverEnd) bool { return end.holdsConvicted(c, true) })
 		}
-		if v, ok := judge(c, part, explained, ends, overall[part]-unexplained[part]); ok {
+		if v, ok := judge(c, part, dueEnds, ends, overall[part]-unexplained[part]); ok {
 			out = append(out, v)
 		}
 	}
--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -210,8 +210,8 @@
 	complete bool
 	// framed is true if the response states where it ends.
 	framed bool
-	// broken is true if the connection ended before the response was known to be complete, shownSound once the quarantine knows that
-	// the server survived the answer.
+	// broken is true if the connection ended before the response was known to be complete, shownSound once the quarantine
+	// knows that the server survived the answer.
 	broken           bool
 	shownSound       bool
 	eventCount       int
