--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -21,7 +21,8 @@
 type play func(s *site, trouble bool) (verdict, error)
 
 var cases = map[string]play{
-	"unsure-stream": playUnsureStream,
+	"unsure-stream":   playUnsureStream,
+	"unreadable-part": playUnreadablePart,
 }
 
 func main() {
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -17,8 +17,12 @@
 	// answer writes the answer to a request that runs.
 	answer func(c net.Conn, r *http.Request)
 
+	listener net.Listener
+
 	mu   sync.Mutex
 	runs map[string]int
+	// conns are the open connections; nil once the server has ended.
+	conns map[net.Conn]bool
 }
 
 // newServer starts a server and registers it in the store.
@@ -27,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	srv := &server{id: fmt.Sprintf("i-%04d", n), service: service, address: l.Addr().String(), site: s, answer: answer, runs: map[string]int{}}
+	srv := &server{id: fmt.Sprintf("i-%04d", n), service: service, address: l.Addr().String(), site: s, answer: answer, listener: l, runs: map[string]int{}, conns: map[net.Conn]bool{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -45,7 +49,16 @@
 }
 
 func (s *server) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer s.closeConn(c)
+	s.mu.Lock()
+	ended := s.conns == nil
+	if !ended {
+		s.conns[c] = true
+	}
+	s.mu.Unlock()
+	if ended {
+		return
+	}
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
@@ -64,6 +77,24 @@
 	s.answer(c, r)
 }
 
+func (s *server) closeConn(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	_ = c.Close() // the peer may have closed it before
+}
+
+// end does what the end of the server's process does: nothing listens any more, and all connections close.
+func (s *server) end() {
+	_ = s.listener.Close() // fails only if it is closed
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	s.conns = nil
+}
+
 func (s *server) runsOf(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -77,6 +77,23 @@
 	return o
 }
 
+// remove deletes an object, as when the entry of a server lapses.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, ok := s.objects[kind][name]; ok {
+		s.drop(kind, o)
+	}
+}
+
+// drop deletes an object under the next revision; s.mu is held.
+func (s *store) drop(kind string, o object) {
+	s.revision++
+	delete(s.objects[kind], o.Metadata.Name)
+	o.Metadata.Revision = s.revision
+	s.append(storeEvent{kind: kind, Object: o, Deleted: true})
+}
+
 // append adds an event and wakes the watches; s.mu is held.
 func (s *store) append(e storeEvent) {
 	s.events = append(s.events, e)
@@ -171,10 +188,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	case r.Method == http.MethodDelete:
-		s.revision++
-		delete(s.objects[kind], name)
-		old.Metadata.Revision = s.revision
-		s.append(storeEvent{kind: kind, Object: old, Deleted: true})
+		s.drop(kind, old)
 		return
 	case len(parts) == 3:
 		old.Status = in.Status
