--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]play{
 	"unsure-stream":   playUnsureStream,
+	"model-names":     playModelNames,
 	"unreadable-part": playUnreadablePart,
 }
 
