--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]play{
 	"unsure-stream":   playUnsureStream,
 	"model-names":     playModelNames,
+	"prompt-parts":    playPromptParts,
 	"unreadable-part": playUnreadablePart,
 }
 
--- a/review/stage/memory.go
+++ b/review/stage/memory.go
@@ -138,3 +138,46 @@
 		},
 	})
 }
+
+// playPromptParts sends requests whose prompts have other parts each time. Without the disruption they all have the same
+// parts.
+func playPromptParts(s *site, trouble bool) (verdict, error) {
+	if err := s.startPlainServers(); err != nil {
+		return failed, err
+	}
+	for i := range 18 {
+		if _, err := s.newServer(10+i, "quote-writer", 48, func(c net.Conn, r *http.Request) {
+			time.Sleep(2 * time.Millisecond)
+			beginStream(c, r, "X-Confidence: 90\r\n")
+			if writeEvent(c, 1) == nil {
+				endStream(c)
+			}
+		}); err != nil {
+			return failed, err
+		}
+	}
+	s.configure(
+		route("look", "safe", "booking-desk", map[string]any{"timeoutMs": 1500, "targetLatencyMs": 300, "maxAttempts": 2}),
+		route("draft", "streaming", "quote-writer", map[string]any{
+			"sizes": models(), "sticky": true, "resumable": true, "targetLatencyMs": 4000, "targetGapMs": 1000,
+		}),
+	)
+	// Five hexadecimal digits are enough: the daemon records a part for each server.
+	const partBytes, parts = 8, 1 << 20
+	return s.playFlood(flood{
+		path: "/draft/b", perSecond: 300, connections: 40, lasts: 75 * time.Second,
+		fields: func(n int) string {
+			if !trouble {
+				n = 0
+			}
+			var list strings.Builder
+			for i := 0; list.Len() < headerBytes-partBytes; i++ {
+				if i > 0 {
+					list.WriteByte(',')
+				}
+				_, _ = fmt.Fprintf(&list, "%05x:1", (n*headerBytes/partBytes+i)%parts)
+			}
+			return "X-Model: *\r\nX-Token-Usage: 1900,1\r\nX-Prompt-Prefix: " + list.String() + "\r\n"
+		},
+	})
+}
