--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -24,6 +24,7 @@
 	"unsure-stream":   playUnsureStream,
 	"model-names":     playModelNames,
 	"prompt-parts":    playPromptParts,
+	"paused-streams":  playPausedStreams,
 	"unreadable-part": playUnreadablePart,
 }
 
