--- a/review/stage/memory.go
+++ b/review/stage/memory.go
@@ -11,74 +11,84 @@
 	"time"
 )
 
-// flood describes what one client that nobody controls sends.
+// flood describes what clients that nobody controls send to each daemon.
 type flood struct {
 	path string
-	// perSecond is the rate over all its connections.
+	// perSecond is the rate over all connections to one daemon.
 	perSecond   int
 	connections int
 	lasts       time.Duration
-	// fields returns the header lines of its nth request; they stay inside the limit of the header.
+	// fields returns the header lines of the nth request; they stay inside the limit of the header.
 	fields func(n int) string
 }
 
-// playFlood sends a flood to the first daemon and an ordinary request to each daemon every 100 ms. The rule is broken if a
-// process ends, also by the platform since it exceeds the memory of its machine.
+// endsOfFault is how often processes have to end by themselves, on machinesOfFault machines, to break the rule.
+const (
+	endsOfFault     = 3
+	machinesOfFault = 2
+)
+
+// playFlood sends a flood and ordinary requests to two daemons, which the platform starts again when they end. The rule is
+// broken once processes have ended three times on both machines, here by the platform since they exceed their memory.
 func (s *site) playFlood(f flood) (verdict, error) {
-	if err := s.start(2); err != nil {
+	if err := s.start(machinesOfFault); err != nil {
 		return failed, err
 	}
+	var over atomic.Bool
 	stop := make(chan struct{})
 	var watching sync.WaitGroup
-	watching.Go(func() { s.policeMemory(stop) })
+	watching.Go(func() {
+		s.policeMemory(stop, s.faulty)
+		over.Store(true)
+	})
 	var sent, ok, ordinaryOK, ordinarySent atomic.Int64
 	var clients sync.WaitGroup
 	end := time.Now().Add(f.lasts)
-	for w := range f.connections {
-		clients.Go(func() { s.floodFrom(f, w, end, &sent, &ok) })
-	}
+	goesOn := func() bool { return time.Now().Before(end) && !over.Load() }
 	for _, d := range s.daemons {
-		clients.Go(func() { s.callOrdinarily(d, end, &ordinarySent, &ordinaryOK) })
+		for w := range f.connections {
+			clients.Go(func() { floodFrom(d, f, w, goesOn, &sent, &ok) })
+		}
+		clients.Go(func() { callOrdinarily(d, goesOn, &ordinarySent, &ordinaryOK) })
 	}
 	clients.Wait()
-	time.Sleep(500 * time.Millisecond)
 	close(stop)
 	watching.Wait()
-	s.notef("the client sent %d requests, %d were answered with 200; of %d ordinary requests %d were", sent.Load(), ok.Load(), ordinarySent.Load(), ordinaryOK.Load())
-	v := held
+	s.notef("the clients sent %d requests, %d were answered with 200; of %d ordinary requests %d were", sent.Load(), ok.Load(), ordinarySent.Load(), ordinaryOK.Load())
 	for _, d := range s.daemons {
-		s.notef("%s: at most %d MiB, running at the end: %t", d.name, d.peak>>20, d.running())
-		if !d.running() {
-			v = broken
-		}
+		s.notef("%s: at most %d MiB, ended %d times", d.name, d.peak>>20, d.ends)
 	}
-	if ok.Load() == 0 || ordinaryOK.Load() == 0 {
+	switch {
+	case ok.Load() == 0 || ordinaryOK.Load() == 0:
 		return failed, errNoReply
+	case s.faulty():
+		return broken, nil
+	default:
+		return held, nil
 	}
-	return v, nil
 }
 
-// allRun reports whether no daemon has ended.
-func (s *site) allRun() bool {
-	return !slices.ContainsFunc(s.daemons, func(d *daemon) bool { return !d.running() })
+// faulty reports whether processes have ended endsOfFault times on each machine.
+func (s *site) faulty() bool {
+	return !slices.ContainsFunc(s.daemons, func(d *daemon) bool { return d.ends < endsOfFault })
 }
 
 // floodFrom sends the part of one connection, and opens it again when it breaks.
-func (s *site) floodFrom(f flood, w int, end time.Time, sent, ok *atomic.Int64) {
+func floodFrom(d *daemon, f flood, w int, goesOn func() bool, sent, ok *atomic.Int64) {
 	tick := time.NewTicker(time.Second * time.Duration(f.connections) / time.Duration(f.perSecond))
 	defer tick.Stop()
 	var c *callerConn
-	for n := w; time.Now().Before(end) && s.allRun(); n += f.connections {
+	for n := w; goesOn(); n += f.connections {
 		<-tick.C
 		if c == nil {
 			var err error
-			if c, err = dialFront(s.daemons[0]); err != nil {
+			if c, err = dialFront(d); err != nil {
 				c = nil
 				continue
 			}
 		}
 		sent.Add(1)
-		got := c.send(request{method: http.MethodPost, path: f.path, id: fmt.Sprintf("x-%07d", n), key: "key-other", deadline: 3 * time.Second, fields: f.fields(n)})
+		got := c.send(request{method: http.MethodPost, path: f.path, id: fmt.Sprintf("x-%s-%07d", d.name, n), key: "key-other", deadline: 3 * time.Second, fields: f.fields(n)})
 		if got.err != nil {
 			c.close()
 			c = nil
@@ -93,8 +103,8 @@
 	}
 }
 
-func (s *site) callOrdinarily(d *daemon, end time.Time, sent, ok *atomic.Int64) {
-	for n := 0; time.Now().Before(end) && s.allRun(); n++ {
+func callOrdinarily(d *daemon, goesOn func() bool, sent, ok *atomic.Int64) {
+	for n := 0; goesOn(); n++ {
 		sent.Add(1)
 		got := sendOnce(d, request{method: http.MethodGet, path: "/look/a", id: fmt.Sprintf("o-%s-%05d", d.name, n), key: ordinary, deadline: 3 * time.Second})
 		if got.status == http.StatusOK && got.whole {
@@ -129,7 +139,7 @@
 	s.configure(route("look", "safe", "booking-desk", map[string]any{"timeoutMs": 1500, "targetLatencyMs": 300, "maxAttempts": 2}))
 	filler := strings.Repeat("m", headerBytes)
 	return s.playFlood(flood{
-		path: "/look/b", perSecond: 240, connections: 16, lasts: 80 * time.Second,
+		path: "/look/b", perSecond: 700, connections: 48, lasts: 105 * time.Second,
 		fields: func(n int) string {
 			if !trouble {
 				n = 0
@@ -165,7 +175,7 @@
 	// Five hexadecimal digits are enough: the daemon records a part for each server.
 	const partBytes, parts = 8, 1 << 20
 	return s.playFlood(flood{
-		path: "/draft/b", perSecond: 300, connections: 40, lasts: 75 * time.Second,
+		path: "/draft/b", perSecond: 300, connections: 40, lasts: 80 * time.Second,
 		fields: func(n int) string {
 			if !trouble {
 				n = 0
--- a/review/stage/paused_streams.go
+++ b/review/stage/paused_streams.go
@@ -161,7 +161,8 @@
 	now := time.Now()
 	termAt.Store(&now)
 	s.notef("SIGTERM to %s", s.daemons[0].name)
-	if err := s.daemons[0].cmd.Process.Signal(syscall.SIGTERM); err != nil {
+	p, _ := s.daemons[0].process()
+	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return failed, err
 	}
 	clients.Wait()
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -42,15 +42,18 @@
 	started time.Time
 }
 
-// daemon is one process of the system.
+// daemon is one machine with a process of the system.
 type daemon struct {
 	name, ip string
-	cmd      *exec.Cmd
-	exited   chan struct{}
-	// killedAt is the resident memory, in bytes, at which the platform killed the process; 0 if it did not.
-	killedAt int64
-	// peak is the highest resident memory seen.
+	seeds    []string
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	// peak is the highest resident memory seen, ends the number of processes that the platform killed for theirs. Only
+	// policeMemory uses them while it runs.
 	peak int64
+	ends int
 }
 
 func newSite(recordPath string) (*site, error) {
@@ -86,8 +89,8 @@
 		seeds = append(seeds, s.ip(10+i)+":8229")
 	}
 	for i := range n {
-		d := &daemon{name: fmt.Sprintf("front-%s-%d", zone, i+1), ip: s.ip(10 + i), exited: make(chan struct{})}
-		if err := s.startDaemon(d, seeds); err != nil {
+		d := &daemon{name: fmt.Sprintf("front-%s-%d", zone, i+1), ip: s.ip(10 + i), seeds: seeds}
+		if err := s.startDaemon(d); err != nil {
 			return err
 		}
 		s.daemons = append(s.daemons, d)
@@ -101,12 +104,13 @@
 	return nil
 }
 
-func (s *site) startDaemon(d *daemon, seeds []string) error {
+// startDaemon starts the process of a machine.
+func (s *site) startDaemon(d *daemon) error {
 	settings, err := json.Marshal(map[string]any{
 		"nodeName": d.name, "role": "entry", "machineClass": "front", "serves": []string{"front", "control", "directory"}, "ip": d.ip,
 		"zone": zone, "region": region, "zones": map[string]string{zone: region},
 		"listen": map[string]string{"front": d.ip + ":8227", "ready": d.ip + ":8220", "control": d.ip + ":8229", "directory": d.ip + ":8224"},
-		"seeds":  seeds, "bootstrap": true, "portRange": []int{7340, 7355}, "discovery": "platform", "entry": "directory", "heartbeatMs": 1200,
+		"seeds":  d.seeds, "bootstrap": true, "portRange": []int{7340, 7355}, "discovery": "platform", "entry": "directory", "heartbeatMs": 1200,
 		"limits": map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": memoryMB, "maxFds": maxFDs, "linkMbps": 1000.0},
 		"bounds": map[string]any{
 			"contactMs": 4000, "ackMs": 5000, "drainMs": 3000, "graceS": graceS, "configApplyMs": 3000, "retryBudgetRatio": 0.9,
@@ -121,23 +125,34 @@
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		return err
 	}
-	out, err := os.Create(filepath.Join(s.folder, d.name+".log"))
+	out, err := os.OpenFile(filepath.Join(s.folder, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	d.cmd = exec.Command("target/pollencourse", "entry") // the command of deploy/system.toml
-	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "POLLENCOURSE_CONFIG=" + path}
-	d.cmd.Stdout, d.cmd.Stderr = out, out
-	if err := d.cmd.Start(); err != nil {
+	cmd, exited := exec.Command("target/pollencourse", "entry"), make(chan struct{}) // the command of deploy/system.toml
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "POLLENCOURSE_CONFIG=" + path}
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
 		return err
 	}
+	_ = out.Close() // the process has its own descriptor
 	go func() {
-		_ = d.cmd.Wait() // the exit state is read where it matters
-		close(d.exited)
+		_ = cmd.Wait() // a process that ends is seen by its channel
+		close(exited)
 	}()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cmd, d.exited = cmd, exited
 	return nil
 }
 
+// process returns the process of the machine and the channel that is closed once it has ended.
+func (d *daemon) process() (*os.Process, chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cmd.Process, d.exited
+}
+
 func (d *daemon) awaitReady() bool {
 	client := &http.Client{Timeout: time.Second}
 	for deadline := time.Now().Add(readyWait); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
@@ -154,8 +169,9 @@
 }
 
 func (d *daemon) running() bool {
+	_, exited := d.process()
 	select {
-	case <-d.exited:
+	case <-exited:
 		return false
 	default:
 		return true
@@ -164,7 +180,8 @@
 
 // resident returns the resident memory of the process in bytes.
 func (d *daemon) resident() int64 {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
+	p, _ := d.process()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid))
 	if err != nil {
 		return 0
 	}
@@ -177,17 +194,18 @@
 	return kb << 10
 }
 
-// policeMemory does what the platform does: it kills a process that exceeds the memory of its machine. It returns once
-// stop is closed.
-func (s *site) policeMemory(stop <-chan struct{}) {
-	tick := 0
-	for {
+// restartDelay is the time after which the platform starts a process that has ended again.
+const restartDelay = time.Second
+
+// policeMemory does what the platform does: it kills a process that exceeds the memory of its machine and starts it again. It
+// returns once stop is closed, or once enough is true.
+func (s *site) policeMemory(stop <-chan struct{}, enough func() bool) {
+	for tick := 1; !enough(); tick++ {
 		select {
 		case <-stop:
 			return
 		case <-time.After(100 * time.Millisecond):
 		}
-		tick++
 		for _, d := range s.daemons {
 			if !d.running() {
 				continue
@@ -197,21 +215,33 @@
 			if tick%50 == 0 {
 				s.notef("%s holds %d MiB", d.name, rss>>20)
 			}
-			if rss > memoryMB<<20 && d.killedAt == 0 {
-				d.killedAt = rss
-				s.notef("%s holds %d MiB of %d: the platform kills it", d.name, rss>>20, memoryMB)
-				_ = d.cmd.Process.Kill() // fails only if it has ended
+			if rss > memoryMB<<20 {
+				d.ends++
+				s.notef("%s holds %d MiB of %d: the platform kills it, for the %d. time", d.name, rss>>20, memoryMB, d.ends)
+				s.restart(d)
 			}
 		}
 	}
 }
 
+// restart kills the process of a machine and starts it again after restartDelay.
+func (s *site) restart(d *daemon) {
+	p, exited := d.process()
+	_ = p.Kill() // fails only if it has ended
+	<-exited
+	time.Sleep(restartDelay)
+	if err := s.startDaemon(d); err != nil {
+		s.notef("%s does not start: %v", d.name, err)
+	}
+}
+
 // stop ends all daemons and removes the temporary folder.
 func (s *site) stop() {
 	for _, d := range s.daemons {
 		if d.running() {
-			_ = d.cmd.Process.Signal(syscall.SIGKILL) // fails only if it has ended
-			<-d.exited
+			p, exited := d.process()
+			_ = p.Signal(syscall.SIGKILL) // fails only if it has ended
+			<-exited
 		}
 	}
 	if keep := os.Getenv("KEEP_LOGS"); keep == "" {
