--- a/review/stage/paused_streams.go
+++ b/review/stage/paused_streams.go
@@ -126,53 +126,66 @@
 	if err := s.start(2); err != nil {
 		return failed, err
 	}
-	var whole, cut, refused atomic.Int64
 	var clients sync.WaitGroup
-	var termAt atomic.Pointer[time.Time]
+	counts := &streamCounts{}
 	const clientCount, clientSpread = 12, 150 * time.Millisecond
 	begun := time.Now()
 	for w := range clientCount {
 		clients.Go(func() {
 			time.Sleep(time.Duration(w) * clientSpread)
-			for n := 0; time.Since(begun) < 8*time.Second; n++ {
-				id := fmt.Sprintf("st-%02d-%03d", w, n)
-				got := sendOnce(s.daemons[0], request{
-					method: http.MethodPost, path: "/draft/a", id: id, key: ordinary, deadline: streamDeadline,
-					fields: "X-Model: *\r\nX-Token-Usage: 600,240\r\nX-Prompt-Prefix: 5c1e07a2:400,91bd3f06:100," + fmt.Sprintf("%x", 0x5000+w) + ":100\r\n",
-				})
-				switch term := termAt.Load(); {
-				case got.status == http.StatusOK && got.whole && lastEvent(got.body) == streamEvents:
-					whole.Add(1)
-				case got.status == http.StatusOK && term != nil && time.Since(*term) < graceS*time.Second*5/6:
-					cut.Add(1)
-					s.notef("%s: ended after event %d, %d ms after the SIGTERM: %v", id, lastEvent(got.body), time.Since(*term).Milliseconds(), got.err)
-				case got.status == 0:
-					s.notef("%s: %v", id, got.err)
-					return // the daemon has ended
-				default:
-					refused.Add(1)
-					s.notef("%s: status %d, last event %d: %v", id, got.status, lastEvent(got.body), got.err)
-					time.Sleep(200 * time.Millisecond)
-				}
+			for n := 0; time.Since(begun) < 8*time.Second && s.readStream(counts, w, n); n++ {
 			}
 		})
 	}
 	time.Sleep(2500 * time.Millisecond)
 	now := time.Now()
-	termAt.Store(&now)
+	counts.termAt.Store(&now)
 	s.notef("SIGTERM to %s", s.daemons[0].name)
 	p, _ := s.daemons[0].process()
 	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return failed, err
 	}
 	clients.Wait()
-	s.notef("%d streams whole, %d ended by the daemon in the first five sixths of graceS, %d refused or ended later", whole.Load(), cut.Load(), refused.Load())
+	s.notef("%d streams whole, %d ended by the daemon in the first five sixths of graceS, %d refused or ended later",
+		counts.whole.Load(), counts.cut.Load(), counts.refused.Load())
 	switch {
-	case whole.Load() == 0:
+	case counts.whole.Load() == 0:
 		return failed, errNoReply
-	case cut.Load() > 0:
+	case counts.cut.Load() > 0:
 		return broken, nil
 	default:
 		return held, nil
 	}
 }
+
+// streamCounts counts how the clients' streams ended.
+type streamCounts struct {
+	// termAt is when the daemon got SIGTERM; nil before.
+	termAt              atomic.Pointer[time.Time]
+	whole, cut, refused atomic.Int64
+}
+
+// readStream reads the nth stream of a client from the first daemon. It returns false once the daemon has ended.
+func (s *site) readStream(counts *streamCounts, client, n int) bool {
+	id := fmt.Sprintf("st-%02d-%03d", client, n)
+	got := sendOnce(s.daemons[0], request{
+		method: http.MethodPost, path: "/draft/a", id: id, key: ordinary, deadline: streamDeadline,
+		fields: fmt.Sprintf("X-Model: *\r\nX-Token-Usage: 600,240\r\nX-Prompt-Prefix: 5c1e07a2:400,91bd3f06:100,%x:100\r\n", 0x5000+client),
+	})
+	term := counts.termAt.Load()
+	switch {
+	case got.status == http.StatusOK && got.whole && lastEvent(got.body) == streamEvents:
+		counts.whole.Add(1)
+	case got.status == http.StatusOK && term != nil && time.Since(*term) < graceS*time.Second*5/6:
+		counts.cut.Add(1)
+		s.notef("%s: ended after event %d, %d ms after the SIGTERM: %v", id, lastEvent(got.body), time.Since(*term).Milliseconds(), got.err)
+	case got.status == 0:
+		s.notef("%s: %v", id, got.err)
+		return false
+	default:
+		counts.refused.Add(1)
+		s.notef("%s: status %d, last event %d: %v", id, got.status, lastEvent(got.body), got.err)
+		time.Sleep(200 * time.Millisecond)
+	}
+	return true
+}
--- a/review/stage/unsure_stream.go
+++ b/review/stage/unsure_stream.go
@@ -42,20 +42,11 @@
 	}
 	answered, twice := 0, 0
 	for i := range requests {
-		id := fmt.Sprintf("req-%04d", i)
-		got := sendOnce(s.daemons[i%len(s.daemons)], request{
-			method: http.MethodPost, path: "/draft/a", id: id, key: ordinary, deadline: 10 * time.Second,
-			fields: "X-Model: *\r\nX-Token-Usage: 600,80\r\nX-Prompt-Prefix: 5c1e07a2:400,91bd3f06:200\r\n",
-		})
-		if got.status == http.StatusOK && got.whole && lastEvent(got.body) == events {
+		whole, runs := s.askUnsure(s.daemons[i%len(s.daemons)], servers, fmt.Sprintf("req-%04d", i), events)
+		if whole {
 			answered++
 		}
-		n := 0
-		for _, srv := range servers {
-			n += srv.runsOf(id)
-		}
-		s.notef("%s answered with %d, whole %t, last event %d; it ran %d times", id, got.status, got.whole, lastEvent(got.body), n)
-		if n > 1 {
+		if runs > 1 {
 			twice++
 		}
 	}
@@ -69,3 +60,16 @@
 		return held, nil
 	}
 }
+
+// askUnsure sends one stream's request and returns whether its answer was whole and how often it ran.
+func (s *site) askUnsure(d *daemon, servers []*server, id string, events int) (whole bool, runs int) {
+	got := sendOnce(d, request{
+		method: http.MethodPost, path: "/draft/a", id: id, key: ordinary, deadline: 10 * time.Second,
+		fields: "X-Model: *\r\nX-Token-Usage: 600,80\r\nX-Prompt-Prefix: 5c1e07a2:400,91bd3f06:200\r\n",
+	})
+	for _, srv := range servers {
+		runs += srv.runsOf(id)
+	}
+	s.notef("%s answered with %d, whole %t, last event %d; it ran %d times", id, got.status, got.whole, lastEvent(got.body), runs)
+	return got.status == http.StatusOK && got.whole && lastEvent(got.body) == events, runs
+}
