--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 out="$PWD/target/review-2"
 mkdir -p "$out"
 cd review/stage
-GOFLAGS=-mod=mod GOPROXY=off go build -o "$out/stage" .
+GOFLAGS=-mod=mod GOPROXY=off go test -c -o "$out/stage" .
--- a/review/stage/config.go
+++ b/review/stage/config_test.go
@@ -1,4 +1,4 @@
-package main
+package stage
 
 // route returns a route of the configuration; fields replace or add to the usual ones.
 func route(name, kind, service string, fields map[string]any) map[string]any {
--- a/review/stage/main.go
+++ b/review/stage/main_test.go
@@ -1,4 +1,4 @@
-package main
+package stage
 
 import (
 	"flag"
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"testing"
 )
 
 // verdict is how a case ended; its value is the exit code.
@@ -28,7 +29,8 @@
 	"unreadable-part": playUnreadablePart,
 }
 
-func main() {
+// TestMain plays a case instead of tests, of which there are none.
+func TestMain(*testing.M) {
 	name := flag.String("case", "", "the case to play")
 	record := flag.String("record", "record.txt", "the file to write what happened to")
 	flag.Parse()
--- a/review/stage/memory.go
+++ b/review/stage/memory_test.go
@@ -1,4 +1,4 @@
-package main
+package stage
 
 import (
 	"fmt"
--- a/review/stage/site.go
+++ b/review/stage/site_test.go
@@ -1,4 +1,4 @@
-package main
+package stage
 
 import (
 	"encoding/json"
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +38,9 @@
 	storeAt string
 	daemons []*daemon
 
+	// starts are carried out by one thread that lives as long as this process; see startProcesses.
+	starts chan func()
+
 	mu      sync.Mutex
 	record  *os.File
 	started time.Time
@@ -67,11 +71,22 @@
 	}
 	s := &site{
 		folder: folder, network: fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250)), record: record, started: time.Now(),
+		starts: make(chan func()),
 	}
+	go s.startProcesses()
 	s.store, s.storeAt, err = newStore(s.network + "1")
 	return s, err
 }
 
+// startProcesses starts processes on a thread that does not end before this process: they get SIGKILL when their starting
+// thread ends, so that none is left if this process is killed.
+func (s *site) startProcesses() {
+	runtime.LockOSThread()
+	for start := range s.starts {
+		start()
+	}
+}
+
 // notef writes a line to the record.
 func (s *site) notef(format string, args ...any) {
 	s.mu.Lock()
@@ -132,7 +147,10 @@
 	cmd, exited := exec.Command("target/pollencourse", "entry"), make(chan struct{}) // the command of deploy/system.toml
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "POLLENCOURSE_CONFIG=" + path}
 	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	s.starts <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
 		return err
 	}
 	_ = out.Close() // the process has its own descriptor
