--- a/review/stage/memory_test.go
+++ b/review/stage/memory_test.go
@@ -175,7 +175,7 @@
 	// Five hexadecimal digits are enough: the daemon records a part for each server.
 	const partBytes, parts = 8, 1 << 20
 	return s.playFlood(flood{
-		path: "/draft/b", perSecond: 300, connections: 40, lasts: 80 * time.Second,
+		path: "/draft/b", perSecond: 300, connections: 40, lasts: 100 * time.Second,
 		fields: func(n int) string {
 			if !trouble {
 				n = 0
