forward: log unsure answers, and why they are kept

What was missing: a request that ran twice had no line that said why. The retries after a failure and after a refusal are logged (600), resumed streams too (612); the request to a larger model only counted.

Change: event 615 names the model, its confidence, the larger model, and the reason if the answer is kept. The decision is split, so that each condition has its reason.

--- a/internal/core/event/catalogue.go
+++ b/internal/core/event/catalogue.go
@@ -91,6 +91,7 @@
 	RequestDone       = Event{610, "requestDone", log.InfoLevel, "the response of a backend server was passed on to the caller", "none"}
 	RequestFailed     = Event{611, "requestFailed", log.WarnLevel, "a request was refused or failed", "search the log for its request ID to find its attempts"}
 	StreamResumed     = Event{612, "streamResumed", log.InfoLevel, "a stream is resumed at another backend server", "none"}
+	AnswerUnsure      = Event{615, "answerUnsure", log.InfoLevel, "a model is unsure of its answer, of which nothing has been passed on; the field kept says why the answer is kept, and without it the request is sent to the model that next names", "none"}
 	LinesDropped      = Event{613, "linesDropped", log.WarnLevel, "log lines beyond the rate limit of their event were dropped", "none; the counters hold the totals"}
 
 	AdmissionRefused  = Event{620, "admissionRefused", log.WarnLevel, "a request was refused before it was sent, since the servers of its service are overloaded", "add servers if it happens often; the fields are the inputs of the decision"}
@@ -126,7 +127,7 @@
 	IntentReleased, IntentUnknown, OutcomeNotWritten,
 	AttemptFailed, AnswerMismatch, AnswerIncomplete, AttemptDisallowed, ServerPaused, FieldUnreadable,
 	ServerEnded, PartQuarantined, PartTried, PartReleased, ContentHeld,
-	RequestDone, RequestFailed, StreamResumed, LinesDropped,
+	RequestDone, RequestFailed, StreamResumed, AnswerUnsure, LinesDropped,
 	AdmissionRefused, RequestWaited, WaitAbandoned,
 	CallerDropped, CallerRefused, ConnectionRefused,
 	RolloutStopped, QualityBelow, RaterUnavailable,
--- a/internal/route/forward/stream.go
+++ b/internal/route/forward/stream.go
@@ -26,7 +26,7 @@
 		if f == nil && resp.Status == http.StatusOK && resp.Signed {
 			a.firstChunkReceived()
 			a.answerBegun()
-			if next, ok := h.escalation(ctx, resp, model); ok {
+			if next, ok := h.escalation(ctx, a, resp); ok {
 				_ = resp.Body.Close()
 				a.finish(place.Success)
 				model = next
@@ -58,20 +58,50 @@
 	}
 }
 
-// escalation returns the larger model to use instead of the one that began to answer; ok is false if there is none, or
-// if it would be late or exceed the retry budget.
-func (h *handler) escalation(ctx context.Context, resp *Response, model string) (string, bool) {
-	if h.headersSent || len(h.req.Route.Models) == 0 || h.sentAttempts >= h.req.Route.MaxAttempts {
+// keepReason says why an unsure answer is kept; it appears in logs.
+type keepReason string
+
+const (
+	keptNot      keepReason = ""
+	keptAttempts keepReason = "maxAttempts"
+	keptLate     keepReason = "late"
+	keptBudget   keepReason = "retryBudget"
+)
+
+// escalation returns the larger model to use instead of that of the attempt, whose answer has begun; ok is false if the
+// answer is kept.
+func (h *handler) escalation(ctx context.Context, a *attempt, resp *Response) (next string, ok bool) {
+	if h.headersSent || len(h.req.Route.Models) == 0 {
+		return "", false
+	}
+	next, unsure := h.router.models.Next(h.req.Route.Models, a.model, resp.Confidence)
+	if !unsure {
 		return "", false
 	}
-	next, ok := h.router.models.Next(h.req.Route.Models, model, resp.Confidence)
-	if !ok || !h.expectedInTime(next) || !h.mayRetry(ctx, escalationBudgetShare) {
+	kept := h.whyKept(ctx, next)
+	h.router.log.Emit(event.AnswerUnsure, "request", h.req.ID, "server", a.server.ID, "model", a.model,
+		"confidence", resp.Confidence, "next", next, "kept", string(kept))
+	if kept != keptNot {
 		return "", false
 	}
 	h.router.counts.escalated.Add(1)
 	return next, true
 }
 
+// whyKept returns why an unsure answer is kept. If it is not, a retry with the next model is taken out of the retry budget.
+func (h *handler) whyKept(ctx context.Context, next string) keepReason {
+	switch {
+	case h.sentAttempts >= h.req.Route.MaxAttempts:
+		return keptAttempts
+	case !h.expectedInTime(next):
+		return keptLate
+	case !h.mayRetry(ctx, escalationBudgetShare):
+		return keptBudget
+	default:
+		return keptNot
+	}
+}
+
 // handleNonStream handles a response that is no signed stream: the server refused, failed or responded otherwise. It
 // reports done unless a retry follows.
 func (h *handler) handleNonStream(ctx context.Context, a *attempt, resp *Response) (done bool, err error) {
