forward: an unsure answer is kept if its request may run only once

Cause: the request to a larger model asked for the attempts, the expected time and the retry budget, but not whether the request may run more than once, as each other way to a further attempt does. The answer that is dropped had run, though the caller got none of it.

TestARequestThatMayRunOnlyOnceRunsOnce plays each way in which a first run can end, for the kinds that may run once and for those that may run more often. Before the fix one of its 42 cases failed: stream that can't be resumed, the answer is unsure (2 attempts).

--- /dev/null
+++ b/internal/route/forward/onlyonce_test.go
@@ -0,0 +1,106 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollencourse/pollencourse/internal/config/routing"
+)
+
+// firstRun is a first attempt at a server that may have run the request.
+type firstRun struct {
+	name string
+	run  func(ctx context.Context, r *Router) (*Response, *Failure)
+	// streamOnly is true if only a stream can end like this, finalForAll if not even a request that may run more than once
+	// is sent again.
+	streamOnly, finalForAll bool
+}
+
+func failed(reason Reason) func(context.Context, *Router) (*Response, *Failure) {
+	return func(context.Context, *Router) (*Response, *Failure) {
+		return nil, &Failure{Reason: reason, Sent: true, Err: io.ErrUnexpectedEOF}
+	}
+}
+
+// waitForCancel is a server that never responds.
+func waitForCancel(ctx context.Context) (*Response, *Failure) {
+	<-ctx.Done()
+	return nil, &Failure{Reason: Cancelled, Sent: true, Err: ctx.Err()}
+}
+
+// answered returns a server that begins to answer; change modifies its response.
+func answered(status int, change func(resp *Response)) func(context.Context, *Router) (*Response, *Failure) {
+	return func(context.Context, *Router) (*Response, *Failure) {
+		resp := response(status, numberedEvents(1, 2))
+		resp.Framed = true
+		if change != nil {
+			change(resp)
+		}
+		return resp, nil
+	}
+}
+
+var firstRuns = []firstRun{
+	{name: "the answer is unsure", run: answered(200, func(resp *Response) { resp.Confidence = 20 }), streamOnly: true},
+	{name: "the connection is lost", run: failed(Truncated)},
+	{name: "the response is malformed", run: failed(Malformed)},
+	{name: "the response belongs to another request", run: failed(WrongRequestID)},
+	{name: "no response comes", run: func(ctx context.Context, _ *Router) (*Response, *Failure) { return waitForCancel(ctx) }},
+	{name: "the body is truncated", run: answered(200, func(resp *Response) { resp.Body = truncatedBody(numberedEvents(1, 2)) })},
+	{name: "the body ends with its server", run: answered(200, func(resp *Response) { resp.Framed = false })},
+	{name: "the server fails", run: answered(500, nil)},
+	{name: "a failure's body is truncated", run: answered(500, func(resp *Response) { resp.Body = truncatedBody("why") })},
+	{name: "a refusal does not say that the request did not run", run: answered(503, nil)},
+	{name: "the signature is missing", run: answered(200, func(resp *Response) { resp.Signed = false }), finalForAll: true},
+}
+
+// TestARequestThatMayRunOnlyOnceRunsOnce guards against a second run of a request that may not be repeated, whatever
+// became of the first; streams that can't be resumed ran again whenever their first answer was unsure.
+func TestARequestThatMayRunOnlyOnceRunsOnce(t *testing.T) {
+	for _, kind := range []struct {
+		name      string
+		kind      routing.Kind
+		resumable bool
+		runsOnce  bool
+	}{
+		{name: "unsafe", kind: routing.Unsafe, runsOnce: true},
+		{name: "stream that can't be resumed", kind: routing.Streaming, runsOnce: true},
+		{name: "safe", kind: routing.Safe},
+		{name: "stream that can be resumed", kind: routing.Streaming, resumable: true},
+	} {
+		for _, first := range firstRuns {
+			if first.streamOnly && kind.kind != routing.Streaming {
+				continue
+			}
+			t.Run(kind.name+"/"+first.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					up := &fakeUpstream{}
+					r := newTestRouter(up, 4)
+					r.opts.ServerEnded = func(string) bool { return true }
+					up.script = func(ctx context.Context, n int, _ Attempt) (*Response, *Failure) {
+						if n == 1 {
+							return first.run(ctx, r)
+						}
+						return answered(200, nil)(ctx, r)
+					}
+					req := request(kind.kind)
+					req.Route.Resumable = kind.resumable
+					if kind.kind == routing.Streaming {
+						req.Route.Models = []string{"small", "large"}
+					}
+					_ = r.Serve(context.Background(), req, httptest.NewRecorder())
+					if kind.runsOnce || first.finalForAll {
+						require.Equal(t, 1, up.sent())
+					} else {
+						require.Greater(t, up.sent(), 1, "a request that may run more than once is sent again")
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/route/forward/stream.go
+++ b/internal/route/forward/stream.go
@@ -63,6 +63,7 @@
 
 const (
 	keptNot      keepReason = ""
+	keptRunsOnce keepReason = "runsOnce"
 	keptAttempts keepReason = "maxAttempts"
 	keptLate     keepReason = "late"
 	keptBudget   keepReason = "retryBudget"
@@ -91,6 +92,8 @@
 // whyKept returns why an unsure answer is kept. If it is not, a retry with the next model is taken out of the retry budget.
 func (h *handler) whyKept(ctx context.Context, next string) keepReason {
 	switch {
+	case !h.req.Route.Retryable():
+		return keptRunsOnce
 	case h.sentAttempts >= h.req.Route.MaxAttempts:
 		return keptAttempts
 	case !h.expectedInTime(next):
