forward: a withdrawn attempt is not followed by another one if the request may run only once

Cause: when a part of a request is quarantined, its attempt in flight is withdrawn, and the next attempt was left to the quarantine to refuse. If the quarantine is lifted in between (an answer to another request with the part, an operator, the limit on their number), it admits the request, and a booking or a stream that can't be resumed runs a second time. The time between is that of ending the attempt's connection: milliseconds.

Change: before each attempt the router checks that a request that may run only once has not run, whatever the outcomes of its attempts were taken for. The caller gets 502 with outcome unknown; as before, a request whose part is still quarantined gets its error.

Two cases of TestARequestThatMayRunOnlyOnceRunsOnce failed before (unsafe, and a stream that can't be resumed, "a part of the prompt is quarantined and at once released": 2 attempts). The test also checks now that the unsure answer reaches the caller: the mutation without its check would otherwise survive behind the new one.

--- a/internal/route/forward/onlyonce_test.go
+++ b/internal/route/forward/onlyonce_test.go
@@ -15,14 +15,16 @@
 // firstRun is a first attempt at a server that may have run the request.
 type firstRun struct {
 	name string
-	run  func(ctx context.Context, r *Router) (*Response, *Failure)
+	run  func(ctx context.Context, r *Router, a Attempt) (*Response, *Failure)
 	// streamOnly is true if only a stream can end like this, finalForAll if not even a request that may run more than once
 	// is sent again.
 	streamOnly, finalForAll bool
+	// whole is true if the caller gets the answer of the first run if there is no other.
+	whole bool
 }
 
-func failed(reason Reason) func(context.Context, *Router) (*Response, *Failure) {
-	return func(context.Context, *Router) (*Response, *Failure) {
+func failed(reason Reason) func(context.Context, *Router, Attempt) (*Response, *Failure) {
+	return func(context.Context, *Router, Attempt) (*Response, *Failure) {
 		return nil, &Failure{Reason: reason, Sent: true, Err: io.ErrUnexpectedEOF}
 	}
 }
@@ -34,8 +36,8 @@
 }
 
 // answered returns a server that begins to answer; change modifies its response.
-func answered(status int, change func(resp *Response)) func(context.Context, *Router) (*Response, *Failure) {
-	return func(context.Context, *Router) (*Response, *Failure) {
+func answered(status int, change func(resp *Response)) func(context.Context, *Router, Attempt) (*Response, *Failure) {
+	return func(context.Context, *Router, Attempt) (*Response, *Failure) {
 		resp := response(status, numberedEvents(1, 2))
 		resp.Framed = true
 		if change != nil {
@@ -46,16 +48,20 @@
 }
 
 var firstRuns = []firstRun{
-	{name: "the answer is unsure", run: answered(200, func(resp *Response) { resp.Confidence = 20 }), streamOnly: true},
+	{name: "the answer is unsure", run: answered(200, func(resp *Response) { resp.Confidence = 20 }), streamOnly: true, whole: true},
 	{name: "the connection is lost", run: failed(Truncated)},
 	{name: "the response is malformed", run: failed(Malformed)},
 	{name: "the response belongs to another request", run: failed(WrongRequestID)},
-	{name: "no response comes", run: func(ctx context.Context, _ *Router) (*Response, *Failure) { return waitForCancel(ctx) }},
+	{name: "no response comes", run: func(ctx context.Context, _ *Router, _ Attempt) (*Response, *Failure) { return waitForCancel(ctx) }},
 	{name: "the body is truncated", run: answered(200, func(resp *Response) { resp.Body = truncatedBody(numberedEvents(1, 2)) })},
 	{name: "the body ends with its server", run: answered(200, func(resp *Response) { resp.Framed = false })},
 	{name: "the server fails", run: answered(500, nil)},
 	{name: "a failure's body is truncated", run: answered(500, func(resp *Response) { resp.Body = truncatedBody("why") })},
 	{name: "a refusal does not say that the request did not run", run: answered(503, nil)},
+	{name: "a part of the prompt is quarantined and at once released", run: func(ctx context.Context, r *Router, a Attempt) (*Response, *Failure) {
+		r.CancelAttempts(a.Request.suspectKeys()[0])
+		return waitForCancel(ctx)
+	}},
 	{name: "the signature is missing", run: answered(200, func(resp *Response) { resp.Signed = false }), finalForAll: true},
 }
 
@@ -82,20 +88,22 @@
 					up := &fakeUpstream{}
 					r := newTestRouter(up, 4)
 					r.opts.ServerEnded = func(string) bool { return true }
-					up.script = func(ctx context.Context, n int, _ Attempt) (*Response, *Failure) {
+					up.script = func(ctx context.Context, n int, a Attempt) (*Response, *Failure) {
 						if n == 1 {
-							return first.run(ctx, r)
+							return first.run(ctx, r, a)
 						}
-						return answered(200, nil)(ctx, r)
+						return answered(200, nil)(ctx, r, a)
 					}
 					req := request(kind.kind)
 					req.Route.Resumable = kind.resumable
 					if kind.kind == routing.Streaming {
 						req.Route.Models = []string{"small", "large"}
 					}
-					_ = r.Serve(context.Background(), req, httptest.NewRecorder())
+					w := httptest.NewRecorder()
+					err := r.Serve(context.Background(), req, w)
 					if kind.runsOnce || first.finalForAll {
 						require.Equal(t, 1, up.sent())
+						require.Equal(t, first.whole, err == nil && w.Code == 200 && w.Body.String() == numberedEvents(1, 2))
 					} else {
 						require.Greater(t, up.sent(), 1, "a request that may run more than once is sent again")
 					}
--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -250,6 +250,9 @@
 	if err := h.checkQuarantine(); err != nil {
 		return nil, nil, nil, err
 	}
+	if err := h.checkRunsOnce(); err != nil {
+		return nil, nil, nil, err
+	}
 	if err := h.admit(ctx, model); err != nil {
 		return nil, nil, nil, err
 	}
@@ -288,6 +291,15 @@
 	return a, resp, f, nil
 }
 
+// checkRunsOnce returns an error if the request may run only once and may have run. It holds whatever the outcomes of the
+// earlier attempts were taken for, also if the quarantine that withdrew one of them has been lifted since.
+func (h *handler) checkRunsOnce() error {
+	if !h.mayHaveRun || h.req.Route.Retryable() {
+		return nil
+	}
+	return h.newError(fault.BadGateway, "the request may have run and may run only once")
+}
+
 // finish releases the attempt's reservation and records its outcome; further calls do nothing.
 func (a *attempt) finish(o place.Outcome) {
 	if a.released {
