forward, sizing: a request that may run only once gets the largest model while there is room

Cause: since an unsure answer of such a request is kept, its quality depends on the model that is asked first. With the smallest, some four in ten answers are unsure and nothing follows.

Change: the largest model is asked if its first chunk is expected within a quarter of the route's target, else the smallest; an attempt after one that did not run chooses again. Requests that may run more than once are served as before. The caller gets the confidence that the model gave with its answer, unchanged.

A first chunk that is just in time means servers that are full.

TestARequestThatMayRunOnlyOnceGetsTheLargestModelWhileThereIsRoom (decision alone) and TestTheModelOfARequestThatMayRunOnlyOnceDependsOnTheRoom; the latter fails with the whole target as room (mutation largestModelsNeedRoom).

--- a/internal/decide/sizing/policy.go
+++ b/internal/decide/sizing/policy.go
@@ -9,6 +9,15 @@
 // First returns the model for the first attempt; models are ordered by size, the smallest first.
 func (p Policy) First(models []string) string { return models[0] }
 
+// Only returns the model of a request that may run only once, whose answer can't be replaced by a better one: the largest if
+// the servers have room for it, else the smallest, whose streams are the shortest.
+func (p Policy) Only(models []string, hasRoom func(model string) bool) string {
+	if largest := models[len(models)-1]; hasRoom(largest) {
+		return largest
+	}
+	return models[0]
+}
+
 // Next returns the model to escalate to after an answer of a model, or false if the answer is kept. A negative
 // confidence means that the model reported none.
 func (p Policy) Next(models []string, model string, confidence int) (string, bool) {
--- a/internal/decide/sizing/policy_test.go
+++ b/internal/decide/sizing/policy_test.go
@@ -1,6 +1,7 @@
 package sizing
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -22,3 +23,11 @@
 	_, ok := p.Next([]string{"only"}, "only", 0)
 	require.False(t, ok)
 }
+
+// Guards against unsure answers where no second run may follow, and against long streams on busy servers.
+func TestARequestThatMayRunOnlyOnceGetsTheLargestModelWhileThereIsRoom(t *testing.T) {
+	models := []string{"s", "m", "l"}
+	for room, want := range map[string]string{"s m l": "l", "s m": "s", "s": "s", "": "s"} {
+		require.Equal(t, want, Policy{MinConfidence: 50}.Only(models, func(model string) bool { return strings.Contains(room, model) }), room)
+	}
+}
--- a/internal/route/forward/eligible.go
+++ b/internal/route/forward/eligible.go
@@ -96,10 +96,9 @@
 	}
 }
 
-// expectedInTime reports whether the first chunk of a model's response is expected within the route's target latency.
-func (h *handler) expectedInTime(model string) bool {
-	req := h.req
+// expectedWithin reports whether the first chunk of a model's response is expected within d of the request's arrival.
+func (h *handler) expectedWithin(model string, d time.Duration) bool {
 	first, _ := h.eligible()
 	expected, ok := h.router.chooser.ExpectedTimeToFirstChunk(h.query(h.withAllowance(first), model), time.Now())
-	return ok && time.Since(req.Arrived)+expected < req.Route.TargetLatency
+	return ok && time.Since(h.req.Arrived)+expected < d
 }
--- a/internal/route/forward/onlyonce_test.go
+++ b/internal/route/forward/onlyonce_test.go
@@ -6,10 +6,12 @@
 	"net/http/httptest"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencourse/pollencourse/internal/config/routing"
+	"github.com/pollencourse/pollencourse/internal/decide/sizing"
 )
 
 // firstRun is a first attempt at a server that may have run the request.
@@ -65,6 +67,11 @@
 	{name: "the signature is missing", run: answered(200, func(resp *Response) { resp.Signed = false }), finalForAll: true},
 }
 
+// smallestFirst asks the smallest model first, which may be unsure, also for requests that may run only once.
+type smallestFirst struct{ sizing.Policy }
+
+func (p smallestFirst) Only(models []string, _ func(string) bool) string { return p.First(models) }
+
 // TestARequestThatMayRunOnlyOnceRunsOnce guards against a second run of a request that may not be repeated, whatever
 // became of the first; streams that can't be resumed ran again whenever their first answer was unsure.
 func TestARequestThatMayRunOnlyOnceRunsOnce(t *testing.T) {
@@ -87,6 +94,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					up := &fakeUpstream{}
 					r := newTestRouter(up, 4)
+					r.models = smallestFirst{sizing.Policy{MinConfidence: 50}}
 					r.opts.ServerEnded = func(string) bool { return true }
 					up.script = func(ctx context.Context, n int, a Attempt) (*Response, *Failure) {
 						if n == 1 {
@@ -112,3 +120,48 @@
 		}
 	}
 }
+
+// TestTheModelOfARequestThatMayRunOnlyOnceDependsOnTheRoom guards against unsure answers that can't be replaced, and against
+// long streams on busy servers, where a cut one is lost; a request that did not run is sent again with the model that there
+// is room for then.
+func TestTheModelOfARequestThatMayRunOnlyOnceDependsOnTheRoom(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		resumable    bool
+		promptTokens int
+		refusedAfter time.Duration
+		models       []string
+	}{
+		{name: "there is room", models: []string{"large"}},
+		{name: "the largest model would be in time, without room", promptTokens: 20_000, models: []string{"small"}},
+		{name: "the largest model would be late", promptTokens: 1_000_000, models: []string{"small"}},
+		{name: "there is room no more", refusedAfter: time.Second, models: []string{"large", "small"}},
+		{name: "it may run more than once", resumable: true, models: []string{"small"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			serve(t, 3, func() *Request {
+				req := request(routing.Streaming)
+				req.Route.Resumable, req.Route.Models = tc.resumable, []string{"small", "middle", "large"}
+				req.Prompt.InputTokens = tc.promptTokens
+				return req
+			}, func(_ context.Context, n int, _ Attempt) (*Response, *Failure) {
+				if n < len(tc.models) {
+					time.Sleep(tc.refusedAfter)
+					return notRun(), nil
+				}
+				resp := response(200, numberedEvents(1, 2))
+				resp.Header.Set("Confidence", "60")
+				resp.Confidence = 60
+				return resp, nil
+			}, func(up *fakeUpstream, w *httptest.ResponseRecorder, err error) {
+				require.NoError(t, err)
+				require.Equal(t, "60", w.Header().Get("Confidence"), "the caller learns what the model said of its answer")
+				var models []string
+				for _, a := range up.attempts {
+					models = append(models, a.Model)
+				}
+				require.Equal(t, tc.models, models)
+			})
+		})
+	}
+}
--- a/internal/route/forward/router.go
+++ b/internal/route/forward/router.go
@@ -40,14 +40,6 @@
 	JudgeSpeed(s registry.Server, route, class string, chunkTime time.Duration, firstChunk bool)
 }
 
-// Models chooses among the models of a route.
-type Models interface {
-	// First returns the model of the first attempt.
-	First(models []string) string
-	// Next returns the model to escalate to if the confidence of a model's answer is too low.
-	Next(models []string, model string, confidence int) (next string, ok bool)
-}
-
 // Quarantine keeps requests that crash servers away from them.
 type Quarantine interface {
 	// Admit reports whether a request with the given shared prompt parts may be sent to a server; if not, the block says
--- a/internal/route/forward/stream.go
+++ b/internal/route/forward/stream.go
@@ -14,10 +14,7 @@
 
 // stream handles a request whose response is a stream of events.
 func (h *handler) stream(ctx context.Context) error {
-	model := h.req.Prompt.Model
-	if len(h.req.Route.Models) > 0 {
-		model = h.router.models.First(h.req.Route.Models)
-	}
+	model := h.firstModel()
 	for {
 		a, resp, f, err := h.startAttempt(ctx, model)
 		if err != nil {
@@ -42,6 +39,7 @@
 			if done {
 				return err
 			}
+			model = h.retryModel(model)
 			continue
 		}
 		a.fail(ctx, f)
@@ -51,6 +49,7 @@
 		if !h.retryAfterFailure(ctx, a, f) {
 			return h.requestError(ctx, f)
 		}
+		model = h.retryModel(model)
 		if h.headersSent {
 			h.router.counts.resumed.Add(1)
 			h.router.log.Emit(event.StreamResumed, "request", h.req.ID, "after", h.lastEventID, "from", a.server.ID)
@@ -58,53 +57,6 @@
 	}
 }
 
-// keepReason says why an unsure answer is kept; it appears in logs.
-type keepReason string
-
-const (
-	keptNot      keepReason = ""
-	keptRunsOnce keepReason = "runsOnce"
-	keptAttempts keepReason = "maxAttempts"
-	keptLate     keepReason = "late"
-	keptBudget   keepReason = "retryBudget"
-)
-
-// escalation returns the larger model to use instead of that of the attempt, whose answer has begun; ok is false if the
-// answer is kept.
-func (h *handler) escalation(ctx context.Context, a *attempt, resp *Response) (next string, ok bool) {
-	if h.headersSent || len(h.req.Route.Models) == 0 {
-		return "", false
-	}
-	next, unsure := h.router.models.Next(h.req.Route.Models, a.model, resp.Confidence)
-	if !unsure {
-		return "", false
-	}
-	kept := h.whyKept(ctx, next)
-	h.router.log.Emit(event.AnswerUnsure, "request", h.req.ID, "server", a.server.ID, "model", a.model,
-		"confidence", resp.Confidence, "next", next, "kept", string(kept))
-	if kept != keptNot {
-		return "", false
-	}
-	h.router.counts.escalated.Add(1)
-	return next, true
-}
-
-// whyKept returns why an unsure answer is kept. If it is not, a retry with the next model is taken out of the retry budget.
-func (h *handler) whyKept(ctx context.Context, next string) keepReason {
-	switch {
-	case !h.req.Route.Retryable():
-		return keptRunsOnce
-	case h.sentAttempts >= h.req.Route.MaxAttempts:
-		return keptAttempts
-	case !h.expectedInTime(next):
-		return keptLate
-	case !h.mayRetry(ctx, escalationBudgetShare):
-		return keptBudget
-	default:
-		return keptNot
-	}
-}
-
 // handleNonStream handles a response that is no signed stream: the server refused, failed or responded otherwise. It
 // reports done unless a retry follows.
 func (h *handler) handleNonStream(ctx context.Context, a *attempt, resp *Response) (done bool, err error) {
