soak: a route whose streams can't be resumed, with models that are unsure

Change: a fourth route with two models, the smaller always unsure; each of its requests may run once.

--- a/internal/app/entry/daemon_test.go
+++ b/internal/app/entry/daemon_test.go
@@ -130,11 +130,16 @@
 	return resp.StatusCode, string(body), resp.Header
 }
 
-// putConfig writes a configuration with an unsafe route, a streaming route and one safe route per extra name.
+// smallModel and largeModel are the models of the route "once".
+const smallModel, largeModel = "m0", "m1"
+
+// putConfig writes a configuration with an unsafe route, a streaming route that can be resumed, one with models that can't,
+// and one safe route per extra name.
 func putConfig(store *storeStandin, version int, extra ...string) {
 	routes := []map[string]any{
 		{"name": "u", "hostname": "h.example", "pathPrefix": "/u/", "type": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 300, "service": "s", "maxAttempts": 2},
 		{"name": "st", "hostname": "h.example", "pathPrefix": "/st/", "type": "streaming", "timeoutMs": 9000, "targetLatencyMs": 2000, "targetGapMs": 2000, "service": "s", "maxAttempts": 3, "resumable": true},
+		{"name": "once", "hostname": "h.example", "pathPrefix": "/once/", "type": "streaming", "timeoutMs": 9000, "targetLatencyMs": 2000, "targetGapMs": 2000, "service": "s", "maxAttempts": 3, "sizes": []string{smallModel, largeModel}},
 	}
 	for _, name := range extra {
 		routes = append(routes, map[string]any{"name": name, "hostname": "h.example", "pathPrefix": "/" + name + "/", "type": "safe", "timeoutMs": 3000, "targetLatencyMs": 300, "service": "s"})
--- a/internal/app/entry/soak_servers_test.go
+++ b/internal/app/entry/soak_servers_test.go
@@ -170,7 +170,10 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\n%s\r\nContent-Length: 0\r\n\r\n", id, field)
 		return
 	}
-	if !strings.HasPrefix(r.URL.Path, "/st/") {
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/once/"):
+		field += confidenceField(r.Header.Get("X-Model"))
+	case !strings.HasPrefix(r.URL.Path, "/st/"):
 		writeResponse(c, r, "answer to "+id, field)
 		return
 	}
@@ -198,3 +201,11 @@
 		_, _ = io.WriteString(c, "0\r\n\r\n")
 	}
 }
+
+// confidenceField returns the field by which a model says how sure it is of its answer; the small one never is.
+func confidenceField(model string) string {
+	if model == largeModel {
+		return "\r\nX-Confidence: 90"
+	}
+	return "\r\nX-Confidence: 20"
+}
--- a/internal/app/entry/soak_test.go
+++ b/internal/app/entry/soak_test.go
@@ -148,7 +148,7 @@
 				default:
 				}
 				id := fmt.Sprintf("c%d-%d", c, n)
-				path := []string{"/u/x", "/safe/x", "/st/x"}[rng.IntN(3)]
+				path := []string{"/u/x", "/safe/x", "/st/x", "/once/x"}[rng.IntN(4)]
 				s.sendRequest(transport, s.daemons[rng.IntN(len(s.daemons))], path, id)
 				time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
 			}
@@ -197,12 +197,12 @@
 	}
 }
 
-// checkRunCount checks three promises: an unsafe request runs at most once, a request refused as not run (503) did
+// checkRunCount checks three promises: an unsafe request and a stream that can't be resumed run at most once, a request refused as not run (503) did
 // not run, and no request gets 404 or 401, since every configuration has its route.
 func (s *soak) checkRunCount(id string, r clientResult, runs int) {
 	switch {
-	case r.path == "/u/x" && runs > 1:
-		s.reportViolation("unsafe request %s ran %d times", id, runs)
+	case (r.path == "/u/x" || r.path == "/once/x") && runs > 1:
+		s.reportViolation("request %s to %s ran %d times", id, r.path, runs)
 	case r.statusCode == http.StatusServiceUnavailable && runs > 0:
 		s.reportViolation("request %s was refused as not run but ran %d times", id, runs)
 	case r.statusCode == http.StatusNotFound || r.statusCode == http.StatusUnauthorized:
@@ -213,7 +213,7 @@
 // checkBody checks the body of a response with status 200: a complete one has exactly the expected content, a truncated
 // stream has a prefix of the expected events.
 func (s *soak) checkBody(id string, r clientResult) {
-	stream := r.path == "/st/x"
+	stream := r.path == "/st/x" || r.path == "/once/x"
 	switch {
 	case r.complete && stream && r.body != streamEvents(id, 1):
 		s.reportViolation("complete stream %s has unexpected events: %q", id, r.body)
@@ -274,7 +274,7 @@
 // faults depends on the seed only; SOAK_SEED and SOAK_SECONDS set the seed and the duration, and scripts/soak runs
 // many seeds.
 //
-// The checks: no unsafe request runs twice, a request refused as not run did not run, every request has its route,
+// The checks: no unsafe request and no stream that can't be resumed runs twice, a request refused as not run did not run, every request has its route,
 // bodies are correct (checkRunCount, checkBody), servers that say that they are leaving or want a pause get no further
 // requests (serverNotices), an evacuated zone gets none (checkEvacuation), the daemons serve again after the faults (checkServedAfterFaults), a
 // new configuration is in force in time (checkNewConfigInForce), and a daemon exits within its grace period
