--- a/internal/route/forward/onlyonce_test.go
+++ b/internal/route/forward/onlyonce_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http/httptest"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollencourse/pollencourse/internal/config/routing"
+	"github.com/pollencourse/pollencourse/internal/core/fault"
 	"github.com/pollencourse/pollencourse/internal/decide/sizing"
 )
 
@@ -67,6 +69,43 @@
 	{name: "the signature is missing", run: answered(200, func(resp *Response) { resp.Signed = false }), finalForAll: true},
 }
 
+// TestAtMostOneAttemptMayHaveRun guards against a further run after any series of attempts, some of which did not run, and
+// against an error that says "not run" after one that may have run.
+func TestAtMostOneAttemptMayHaveRun(t *testing.T) {
+	const series = 300
+	rng := rand.New(rand.NewPCG(1, 2))
+	for n := range series {
+		req := func() *Request {
+			r := request([]routing.Kind{routing.Unsafe, routing.Streaming}[n%2])
+			r.Route.Resumable, r.Route.Models, r.Route.MaxAttempts = false, []string{"small", "large"}, 6
+			return r
+		}
+		mayHaveRun := 0
+		synctest.Test(t, func(t *testing.T) {
+			up := &fakeUpstream{}
+			r := newTestRouter(up, 8)
+			r.models = smallestFirst{sizing.Policy{MinConfidence: 50}}
+			r.opts.ServerEnded = func(string) bool { return rng.IntN(2) == 0 }
+			up.script = func(ctx context.Context, _ int, a Attempt) (*Response, *Failure) {
+				switch rng.IntN(3) {
+				case 0:
+					return nil, &Failure{Reason: ConnectFailed, Err: io.EOF}
+				case 1:
+					return notRun(), nil
+				default:
+					mayHaveRun++
+					return firstRuns[rng.IntN(len(firstRuns))].run(ctx, r, a)
+				}
+			}
+			err := r.Serve(context.Background(), req(), httptest.NewRecorder())
+			require.LessOrEqual(t, mayHaveRun, 1)
+			if err != nil {
+				require.Equal(t, mayHaveRun == 0, fault.As(err).Outcome == fault.NotRun)
+			}
+		})
+	}
+}
+
 // smallestFirst asks the smallest model first, which may be unsure, also for requests that may run only once.
 type smallestFirst struct{ sizing.Policy }
 
