--- a/internal/app/entry/soak_test.go
+++ b/internal/app/entry/soak_test.go
@@ -197,8 +197,8 @@
 	}
 }
 
-// checkRunCount checks three promises: an unsafe request and a stream that can't be resumed run at most once, a request refused as not run (503) did
-// not run, and no request gets 404 or 401, since every configuration has its route.
+// checkRunCount checks three promises: an unsafe request and a stream that can't be resumed run at most once, a request
+// refused as not run (503) did not run, and no request gets 404 or 401, since every configuration has its route.
 func (s *soak) checkRunCount(id string, r clientResult, runs int) {
 	switch {
 	case (r.path == "/u/x" || r.path == "/once/x") && runs > 1:
@@ -274,8 +274,8 @@
 // faults depends on the seed only; SOAK_SEED and SOAK_SECONDS set the seed and the duration, and scripts/soak runs
 // many seeds.
 //
-// The checks: no unsafe request and no stream that can't be resumed runs twice, a request refused as not run did not run, every request has its route,
-// bodies are correct (checkRunCount, checkBody), servers that say that they are leaving or want a pause get no further
+// The checks: no unsafe request and no stream that can't be resumed runs twice, a request refused as not run did not run,
+// every request has its route, bodies are correct (checkRunCount, checkBody), servers that say that they are leaving or want a pause get no further
 // requests (serverNotices), an evacuated zone gets none (checkEvacuation), the daemons serve again after the faults (checkServedAfterFaults), a
 // new configuration is in force in time (checkNewConfigInForce), and a daemon exits within its grace period
 // (restartDaemon).
--- a/internal/decide/sizing/policy.go
+++ b/internal/decide/sizing/policy.go
@@ -9,9 +9,9 @@
 // First returns the model for the first attempt; models are ordered by size, the smallest first.
 func (p Policy) First(models []string) string { return models[0] }
 
-// Only returns the model of a request that may run only once, whose answer can't be replaced by a better one: the largest if
-// the servers have room for it, else the smallest, whose streams are the shortest.
-func (p Policy) Only(models []string, hasRoom func(model string) bool) string {
+// ForSingleRun returns the model of a request that may run only once, so that an unsure answer can't be replaced: the largest
+// if the servers have room for it, else the smallest, whose streams are the shortest. Models are ordered as for First.
+func (p Policy) ForSingleRun(models []string, hasRoom func(model string) bool) string {
 	if largest := models[len(models)-1]; hasRoom(largest) {
 		return largest
 	}
--- a/internal/decide/sizing/policy_test.go
+++ b/internal/decide/sizing/policy_test.go
@@ -28,6 +28,6 @@
 func TestARequestThatMayRunOnlyOnceGetsTheLargestModelWhileThereIsRoom(t *testing.T) {
 	models := []string{"s", "m", "l"}
 	for room, want := range map[string]string{"s m l": "l", "s m": "s", "s": "s", "": "s"} {
-		require.Equal(t, want, Policy{MinConfidence: 50}.Only(models, func(model string) bool { return strings.Contains(room, model) }), room)
+		require.Equal(t, want, Policy{MinConfidence: 50}.ForSingleRun(models, func(model string) bool { return strings.Contains(room, model) }), room)
 	}
 }
--- a/internal/route/forward/models.go
+++ b/internal/route/forward/models.go
@@ -11,16 +11,16 @@
 type Models interface {
 	// First returns the model of the first attempt of a request that may be escalated.
 	First(models []string) string
-	// Only returns the model of a request that may run only once; hasRoom reports whether the servers have room for the
-	// streams of a model.
-	Only(models []string, hasRoom func(model string) bool) string
+	// ForSingleRun returns the model of a request that may run only once; hasRoom reports whether the servers have room
+	// for the streams of a model.
+	ForSingleRun(models []string, hasRoom func(model string) bool) string
 	// Next returns the model to escalate to if the confidence of a model's answer is too low.
 	Next(models []string, model string, confidence int) (next string, ok bool)
 }
 
-// roomTargetShare times a route's target latency is the longest expected time to first chunk at which the servers have room
-// for the streams of a model. It leaves room for what comes during a stream: one that is cut on busy servers can't be
-// resumed if its request may run only once.
+// roomTargetShare times a route's target latency is the longest time from the arrival of a request to the expected first
+// chunk at which the servers have room for the streams of a model. On servers that are just in time, the long streams of a
+// large model are often late or cut, and that of a request that may run only once can't be resumed.
 const roomTargetShare = 0.25
 
 // firstModel returns the model of an attempt of a request that has not run.
@@ -33,12 +33,12 @@
 		return h.router.models.First(route.Models)
 	default:
 		room := time.Duration(roomTargetShare * float64(route.TargetLatency))
-		return h.router.models.Only(route.Models, func(model string) bool { return h.expectedWithin(model, room) })
+		return h.router.models.ForSingleRun(route.Models, func(model string) bool { return h.expectedWithin(model, room) })
 	}
 }
 
 // retryModel returns the model of an attempt that follows one with the given model. A request that may run only once has
-// not run if there is a further attempt, and may find less room.
+// not run if there is a further attempt, and there may be less room by now.
 func (h *handler) retryModel(model string) string {
 	if h.req.Route.Retryable() {
 		return model
@@ -50,7 +50,7 @@
 type keepReason string
 
 const (
-	keptNot      keepReason = ""
+	notKept      keepReason = ""
 	keptRunsOnce keepReason = "runsOnce"
 	keptAttempts keepReason = "maxAttempts"
 	keptLate     keepReason = "late"
@@ -70,7 +70,7 @@
 	kept := h.whyKept(ctx, next)
 	h.router.log.Emit(event.AnswerUnsure, "request", h.req.ID, "server", a.server.ID, "model", a.model,
 		"confidence", resp.Confidence, "next", next, "kept", string(kept))
-	if kept != keptNot {
+	if kept != notKept {
 		return "", false
 	}
 	h.router.counts.escalated.Add(1)
@@ -89,6 +89,6 @@
 	case !h.mayRetry(ctx, escalationBudgetShare):
 		return keptBudget
 	default:
-		return keptNot
+		return notKept
 	}
 }
--- a/internal/route/forward/onlyonce_test.go
+++ b/internal/route/forward/onlyonce_test.go
@@ -20,10 +20,11 @@
 type firstRun struct {
 	name string
 	run  func(ctx context.Context, r *Router, a Attempt) (*Response, *Failure)
-	// streamOnly is true if only a stream can end like this, finalForAll if not even a request that may run more than once
-	// is sent again.
-	streamOnly, finalForAll bool
-	// whole is true if the caller gets the answer of the first run if there is no other.
+	// streamOnly is true if only a stream can end like this.
+	streamOnly bool
+	// final is true if not even a request that may run more than once is sent again.
+	final bool
+	// whole is true if the caller gets the answer of the first run where there is no other.
 	whole bool
 }
 
@@ -66,7 +67,7 @@
 		r.CancelAttempts(a.Request.suspectKeys()[0])
 		return waitForCancel(ctx)
 	}},
-	{name: "the signature is missing", run: answered(200, func(resp *Response) { resp.Signed = false }), finalForAll: true},
+	{name: "the signature is missing", run: answered(200, func(resp *Response) { resp.Signed = false }), final: true},
 }
 
 // TestAtMostOneAttemptMayHaveRun guards against a further run after any series of attempts, some of which did not run, and
@@ -109,7 +110,9 @@
 // smallestFirst asks the smallest model first, which may be unsure, also for requests that may run only once.
 type smallestFirst struct{ sizing.Policy }
 
-func (p smallestFirst) Only(models []string, _ func(string) bool) string { return p.First(models) }
+func (p smallestFirst) ForSingleRun(models []string, _ func(string) bool) string {
+	return p.First(models)
+}
 
 // TestARequestThatMayRunOnlyOnceRunsOnce guards against a second run of a request that may not be repeated, whatever
 // became of the first; streams that can't be resumed ran again whenever their first answer was unsure.
@@ -148,7 +151,7 @@
 					}
 					w := httptest.NewRecorder()
 					err := r.Serve(context.Background(), req, w)
-					if kind.runsOnce || first.finalForAll {
+					if kind.runsOnce || first.final {
 						require.Equal(t, 1, up.sent())
 						require.Equal(t, first.whole, err == nil && w.Code == 200 && w.Body.String() == numberedEvents(1, 2))
 					} else {
@@ -174,7 +177,7 @@
 		{name: "there is room", models: []string{"large"}},
 		{name: "the largest model would be in time, without room", promptTokens: 20_000, models: []string{"small"}},
 		{name: "the largest model would be late", promptTokens: 1_000_000, models: []string{"small"}},
-		{name: "there is room no more", refusedAfter: time.Second, models: []string{"large", "small"}},
+		{name: "there is no longer room", refusedAfter: time.Second, models: []string{"large", "small"}},
 		{name: "it may run more than once", resumable: true, models: []string{"small"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
