soak: its route with models is an extra route of its own

Cause: added the route to the configuration of all tests of the package, and TestAFewDaemonsPullAConfigurationOverTheLinkBetweenRegions, which waits for a line with "routes":3, failed in 2 of 2 runs of the package. Change: the soak alone asks for the route, as it does for its safe one.

--- a/internal/app/entry/daemon_test.go
+++ b/internal/app/entry/daemon_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -130,23 +131,34 @@
 	return resp.StatusCode, string(body), resp.Header
 }
 
-// smallModel and largeModel are the models of the route "once".
-const smallModel, largeModel = "m0", "m1"
-
-// putConfig writes a configuration with an unsafe route, a streaming route that can be resumed, one with models that can't,
-// and one safe route per extra name.
+// putConfig writes a configuration with an unsafe route, a streaming route and one route per extra name.
 func putConfig(store *storeStandin, version int, extra ...string) {
 	routes := []map[string]any{
 		{"name": "u", "hostname": "h.example", "pathPrefix": "/u/", "type": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 300, "service": "s", "maxAttempts": 2},
 		{"name": "st", "hostname": "h.example", "pathPrefix": "/st/", "type": "streaming", "timeoutMs": 9000, "targetLatencyMs": 2000, "targetGapMs": 2000, "service": "s", "maxAttempts": 3, "resumable": true},
-		{"name": "once", "hostname": "h.example", "pathPrefix": "/once/", "type": "streaming", "timeoutMs": 9000, "targetLatencyMs": 2000, "targetGapMs": 2000, "service": "s", "maxAttempts": 3, "sizes": []string{smallModel, largeModel}},
 	}
 	for _, name := range extra {
-		routes = append(routes, map[string]any{"name": name, "hostname": "h.example", "pathPrefix": "/" + name + "/", "type": "safe", "timeoutMs": 3000, "targetLatencyMs": 300, "service": "s"})
+		routes = append(routes, extraRoute(name))
 	}
 	store.put("config", "main", map[string]any{"version": version, "routes": routes, "services": []any{map[string]any{"name": "s"}}, "limits": map[string]any{"maxBodyBytes": 1000}})
 }
 
+const (
+	// onceRoute is an extra route whose streams have several models and can't be resumed.
+	onceRoute = "once"
+	// smallModel and largeModel are its models.
+	smallModel, largeModel = "m0", "m1"
+)
+
+// extraRoute returns an extra route of a configuration; it is a safe one unless its name is onceRoute.
+func extraRoute(name string) map[string]any {
+	r := map[string]any{"name": name, "hostname": "h.example", "pathPrefix": "/" + name + "/", "type": "safe", "timeoutMs": 3000, "targetLatencyMs": 300, "service": "s"}
+	if name == onceRoute {
+		maps.Copy(r, map[string]any{"type": "streaming", "timeoutMs": 9000, "targetLatencyMs": 2000, "targetGapMs": 2000, "maxAttempts": 3, "sizes": []string{smallModel, largeModel}})
+	}
+	return r
+}
+
 // startSite starts a store with a configuration, backend servers and daemons, and waits until each daemon serves.
 func startSite(t *testing.T, serverCount, daemonCount int) (*storeStandin, []*serverStandin, []*testDaemon) {
 	t.Helper()
--- a/internal/app/entry/soak_servers_test.go
+++ b/internal/app/entry/soak_servers_test.go
@@ -171,7 +171,7 @@
 		return
 	}
 	switch {
-	case strings.HasPrefix(r.URL.Path, "/once/"):
+	case strings.HasPrefix(r.URL.Path, "/"+onceRoute+"/"):
 		field += confidenceField(r.Header.Get("X-Model"))
 	case !strings.HasPrefix(r.URL.Path, "/st/"):
 		writeResponse(c, r, "answer to "+id, field)
--- a/internal/app/entry/soak_test.go
+++ b/internal/app/entry/soak_test.go
@@ -119,7 +119,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configVersion++
-	s.extraRoutes = append([]string{"safe"}, extraRoutes...)
+	s.extraRoutes = append([]string{"safe", onceRoute}, extraRoutes...)
 	putConfig(s.store, s.configVersion, s.extraRoutes...)
 }
 
@@ -148,7 +148,7 @@
 				default:
 				}
 				id := fmt.Sprintf("c%d-%d", c, n)
-				path := []string{"/u/x", "/safe/x", "/st/x", "/once/x"}[rng.IntN(4)]
+				path := []string{"/u/x", "/safe/x", "/st/x", "/" + onceRoute + "/x"}[rng.IntN(4)]
 				s.sendRequest(transport, s.daemons[rng.IntN(len(s.daemons))], path, id)
 				time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
 			}
@@ -201,7 +201,7 @@
 // refused as not run (503) did not run, and no request gets 404 or 401, since every configuration has its route.
 func (s *soak) checkRunCount(id string, r clientResult, runs int) {
 	switch {
-	case (r.path == "/u/x" || r.path == "/once/x") && runs > 1:
+	case (r.path == "/u/x" || strings.HasPrefix(r.path, "/"+onceRoute+"/")) && runs > 1:
 		s.reportViolation("request %s to %s ran %d times", id, r.path, runs)
 	case r.statusCode == http.StatusServiceUnavailable && runs > 0:
 		s.reportViolation("request %s was refused as not run but ran %d times", id, runs)
@@ -213,7 +213,7 @@
 // checkBody checks the body of a response with status 200: a complete one has exactly the expected content, a truncated
 // stream has a prefix of the expected events.
 func (s *soak) checkBody(id string, r clientResult) {
-	stream := r.path == "/st/x" || r.path == "/once/x"
+	stream := r.path == "/st/x" || strings.HasPrefix(r.path, "/"+onceRoute+"/")
 	switch {
 	case r.complete && stream && r.body != streamEvents(id, 1):
 		s.reportViolation("complete stream %s has unexpected events: %q", id, r.body)
