--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(ctx context.Context, s *site) (bool, error){
 	"evacuation": playEvacuation,
 	"headers":    playHeaders,
+	"poison":     playPoison,
 }
 
 func main() {
