--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -264,8 +264,9 @@
 }
 
 const (
-	host   = "ficu95.example"
-	apiKey = "yhks8nbkxxmibw6kpqk8"
+	host     = "ficu95.example"
+	apiKey   = "yhks8nbkxxmibw6kpqk8"
+	otherKey = "bdk9eevyxq2yyazax6pw"
 )
 
 func (s *site) configure(version int, routes ...map[string]any) {
@@ -281,8 +282,11 @@
 	s.printf("configuration %d", version)
 	s.store.put("config", "main", map[string]any{
 		"version": version, "routes": routes, "services": services,
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "apiKeys": []string{apiKey}, "priority": 1, "allowedRegions": []string{}}},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{
+			map[string]any{"name": "hule930", "apiKeys": []string{apiKey}, "priority": 1, "allowedRegions": []string{}},
+			map[string]any{"name": "bosa112", "apiKeys": []string{otherKey}, "priority": 1, "allowedRegions": []string{}},
+		},
 	})
 }
 
