--- a/review/standin3/backend.go
+++ b/review/standin3/backend.go
@@ -25,11 +25,18 @@
 	state  string
 	seq    int64
 	born   int64
+	last   written
 	srv    *http.Server
 	stop   chan struct{}
 	silent atomic.Bool
 }
 
+// written is what an entry says that may change.
+type written struct {
+	state string
+	born  int64
+}
+
 // start listens and registers the server until end is called.
 func (b *backend) start() error {
 	l, err := net.Listen("tcp4", b.address)
@@ -59,7 +66,10 @@
 		return
 	}
 	b.mu.Lock()
-	b.seq++
+	if now := (written{b.state, b.born}); now != b.last { // an entry changes when more than its number does
+		b.seq++
+		b.last = now
+	}
 	entry := map[string]any{
 		"service": b.service, "address": b.address, "zone": b.zone, "version": b.version, "slots": b.slots, "state": b.state,
 		"coldRemainingMs": 0, "seq": b.seq, "born": b.born,
