--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -24,7 +24,7 @@
 	"evacuation": playEvacuation,
 	"headers":    playHeaders,
 	"poison":     playPoison,
-	"prefixes":   playPrefixes,
+	"sizes":      playSizes,
 }
 
 func main() {
