review: keep the stand-ins in test files

Only platform/ and test files may hold the platform's names, which a test of the project checks. They are now one test binary.

--- a/review/standin3/doc.go
+++ b/review/standin3/doc_test.go
@@ -1,5 +1,5 @@
-// Command standin3 plays the cases of the third review.
+// Package standin3 plays the cases of the third review.
 //
 // It starts the daemons of the deploy file as processes of their own on loopback
 // addresses, and in its own process the platform's store, backend servers and callers.
-package main
+package standin3
--- a/review/standin3/main.go
+++ b/review/standin3/main_test.go
@@ -1,4 +1,4 @@
-package main
+package standin3
 
 import (
 	"context"
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -27,7 +28,8 @@
 	"sizes":      playSizes,
 }
 
-func main() {
+// TestMain plays a case instead of tests, of which there are none: standin3 CASE RECORD.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE RECORD")
 		os.Exit(notRun)
--- a/review/standin3/store.go
+++ b/review/standin3/store_test.go
@@ -1,4 +1,4 @@
-package main
+package standin3
 
 import (
 	"bytes"
