--- a/review/standin3/backend_test.go
+++ b/review/standin3/backend_test.go
@@ -70,20 +70,18 @@
 		b.seq++
 		b.last = now
 	}
-	entry := map[string]any{
-		"service": b.service, "address": b.address, "zone": b.zone, "version": b.version, "slots": b.slots, "state": b.state,
-		"coldRemainingMs": 0, "seq": b.seq, "born": b.born,
-	}
 	b.mu.Unlock()
-	b.store.put("servers", b.id, entry)
+	b.store.put("servers", b.id, b.entry())
 }
 
-// drain reports that the server is leaving.
-func (b *backend) drain() {
+// entry returns what the server says of itself.
+func (b *backend) entry() map[string]any {
 	b.mu.Lock()
-	b.state = "draining"
-	b.mu.Unlock()
-	b.beat()
+	defer b.mu.Unlock()
+	return map[string]any{
+		"service": b.service, "address": b.address, "zone": b.zone, "version": b.version, "slots": b.slots, "state": b.state,
+		"coldRemainingMs": 0, "seq": b.seq, "born": b.born,
+	}
 }
 
 func (b *backend) end() {
--- a/review/standin3/main_test.go
+++ b/review/standin3/main_test.go
@@ -25,7 +25,7 @@
 	"evacuation": playEvacuation,
 	"headers":    playHeaders,
 	"poison":     playPoison,
-	"sizes":      playSizes,
+	"foreign":    playForeign,
 }
 
 // TestMain plays a case instead of tests, of which there are none: standin3 CASE RECORD.
