--- a/review/standin3/world_test.go
+++ b/review/standin3/world_test.go
@@ -151,7 +151,7 @@
 	cmd := exec.Command("target/pollencourse", "entry")
 	cmd.Env = []string{"POLLENCOURSE_CONFIG=" + d.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + d.site.dir, "LANG=C"}
 	cmd.Stdout, cmd.Stderr = d.log, d.log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
